--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -3,7 +3,7 @@
   cmake_parse_arguments(ARG "" "" "SOURCES;LIBRARIES" ${ARGN})
   add_library(${name} STATIC ${ARG_SOURCES})
   target_include_directories(${name} PUBLIC ${CMAKE_SOURCE_DIR}/libraries)
-  target_include_directories(${name} SYSTEM PUBLIC ${CMAKE_SOURCE_DIR}/.deps/include)
+  target_include_directories(${name} SYSTEM PUBLIC ${WIGEONSTAIR_DEPENDENCIES}/include)
   target_link_libraries(${name} PUBLIC ${ARG_LIBRARIES} Threads::Threads)
 endfunction()
 
--- a/libraries/base/event_log.cc
+++ b/libraries/base/event_log.cc
@@ -173,6 +173,8 @@
   try {
     if (options.file.empty()) {
       implementation->sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
+    } else if (options.file == kStandardOutput) {
+      implementation->sink = std::make_shared<spdlog::sinks::stdout_sink_st>();
     } else {
       implementation->sink =
           std::make_shared<spdlog::sinks::basic_file_sink_st>(options.file);
--- a/libraries/base/event_log.h
+++ b/libraries/base/event_log.h
@@ -32,11 +32,14 @@
       : key(field_key), value(std::to_string(number)) {}
 };
 
+inline constexpr char kStandardOutput[] = "-";
+
 struct EventLogOptions {
   // The process and host, written on each line.
   std::string process;
   std::string host;
-  // Lines go to this file; empty means standard error.
+  // Lines go to this file; empty means standard error, and kStandardOutput
+  // standard output.
   std::string file;
   LogLevel level = LogLevel::kInfo;
   // Two lines a request at 10,000 requests a second fill it in 3 s.
--- a/libraries/consensus/replica_runtime.h
+++ b/libraries/consensus/replica_runtime.h
@@ -66,6 +66,9 @@
   // The channel to a member, or null when there is none yet. Called on loop
   // threads; the channel must outlive the runtime's use of it in that call.
   std::function<std::shared_ptr<net::MessageChannel>(const Member&)> channel;
+  // Where a host that is in no member list can be reached; empty when unknown.
+  // A replica that joins needs it to answer a leader it never heard of.
+  std::function<std::string(const base::HostId&)> address_of;
   std::shared_ptr<base::EventLog> event_log;
   // Outlives the runtime.
   base::CounterRegistry* counters = nullptr;
--- a/libraries/consensus/replica_runtime_effects.cc
+++ b/libraries/consensus/replica_runtime_effects.cc
@@ -71,7 +71,11 @@
     if (member.host == host)
       return member;
   }
-  return std::nullopt;
+  const std::string address =
+      options.address_of ? options.address_of(host) : std::string();
+  if (address.empty())
+    return std::nullopt;
+  return Member{.host = host, .address = address};
 }
 
 void ReplicaRuntime::Implementation::CollectMessages(
--- /dev/null
+++ b/libraries/jobs/admission.cc
@@ -0,0 +1,79 @@
+#include "jobs/admission.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace wigeonstair::jobs {
+
+namespace {
+
+constexpr std::size_t kJobIdLength = 16;
+// Bounds what one call can make the scheduler hold.
+constexpr std::size_t kMaximumPayloadBytes = 4000;
+constexpr std::size_t kMaximumSteps = 64;
+constexpr std::uint32_t kMaximumTasks = 10'000;
+constexpr std::uint32_t kMaximumOccurrences = 10'000;
+
+bool IsJobId(std::string_view text) {
+  return text.size() == kJobIdLength &&
+         std::all_of(text.begin(), text.end(), [](char c) {
+           return std::isxdigit(static_cast<unsigned char>(c)) != 0;
+         });
+}
+
+}  // namespace
+
+std::variant<AdmittedCall, Reply> AdmitCall(const JobStore& store,
+                                            const CallTarget& target) {
+  const Configuration& configuration = store.configuration();
+  if (configuration.version == 0)
+    return Reply{.status = ReplyStatus::kNotConfigured,
+                 .text = "no configuration was accepted yet"};
+  const auto match = configuration.Match(target.host, target.path);
+  if (!match)
+    return Reply{.status = ReplyStatus::kNoQueue,
+                 .text = "no queue has this host and path"};
+  AdmittedCall admitted{.queue = match->queue};
+  if (const Customer* customer =
+          target.key.empty() ? nullptr : configuration.FindCustomer(target.key))
+    admitted.customer = customer->id;
+  if (admitted.customer.empty() && !match->queue->open_to_all)
+    return Reply{.status = ReplyStatus::kUnauthorized,
+                 .text = "the key belongs to no customer"};
+  if (!match->rest.empty()) {
+    if (!IsJobId(match->rest))
+      return Reply{.status = ReplyStatus::kNoQueue,
+                   .text = "the path names no job id of 16 digits"};
+    admitted.job = base::JobId(std::string(match->rest));
+  }
+  return admitted;
+}
+
+std::optional<std::string> FaultOf(const JobSpec& spec) {
+  if (spec.payload.size() > kMaximumPayloadBytes)
+    return "the payload is longer than 4000 bytes";
+  if (spec.steps.empty() || spec.steps.size() > kMaximumSteps)
+    return "a job has 1 to 64 steps";
+  if (spec.repeat_count > kMaximumOccurrences)
+    return "a job has at most 10000 occurrences";
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    const StepSpec& step = spec.steps[i];
+    if (step.count == 0 || step.count > kMaximumTasks)
+      return "step " + std::to_string(i) + " has no task, or more than 10000";
+    for (const std::uint32_t earlier : step.depends_on) {
+      if (earlier >= i)
+        return "step " + std::to_string(i) +
+               " depends on a step that is not before it";
+    }
+  }
+  return std::nullopt;
+}
+
+const JobRecord* VisibleJob(const JobStore& store, const AdmittedCall& call) {
+  const JobRecord* job = store.FindJob(call.job);
+  const bool visible = job != nullptr && (call.queue->open_to_all ||
+                                          job->customer == call.customer);
+  return visible ? job : nullptr;
+}
+
+}  // namespace wigeonstair::jobs
--- /dev/null
+++ b/libraries/jobs/command.h
@@ -0,0 +1,185 @@
+#ifndef WIGEONSTAIR_LIBRARIES_JOBS_COMMAND_H_
+#define WIGEONSTAIR_LIBRARIES_JOBS_COMMAND_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/result.h"
+#include "jobs/job_record.h"
+
+namespace wigeonstair::jobs {
+
+// Takes effect when its version is above the one in force.
+struct PutConfiguration {
+  Configuration configuration;
+  // As the operator sent it, for reads.
+  std::string document;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(configuration, document);
+  }
+};
+
+// Takes a failure domain out of service or back in.
+struct SetDomainService {
+  base::DomainId domain;
+  bool in_service = true;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(domain, in_service);
+  }
+};
+
+struct SubmitJob {
+  JobRecord job;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(job);
+  }
+};
+
+struct CancelJob {
+  base::JobId job;
+  std::uint64_t now_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(job, now_ms);
+  }
+};
+
+struct Placement {
+  TaskRef task;
+  std::uint32_t attempt = 0;
+  WorkerLife worker;
+
+  bool operator==(const Placement&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(task, attempt, worker);
+  }
+};
+
+// A new leader begins; what earlier leaders still propose takes no effect.
+struct TakeOver {
+  std::uint64_t term = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(term);
+  }
+};
+
+// Committed before the first start is sent, so that a new leader knows where a
+// task may run and under which number.
+struct PlaceTasks {
+  // Of the leader that decided it.
+  std::uint64_t term = 0;
+  std::vector<Placement> placements;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(term, placements);
+  }
+};
+
+enum class RunOutcome : std::uint8_t {
+  kDone,
+  // Counts towards the attempts of its queue.
+  kFailed,
+  // Stopped, never started or lost with its worker; the task waits again.
+  kReturned,
+};
+
+struct TaskEnd {
+  TaskRef task;
+  std::uint32_t attempt = 0;
+  RunOutcome outcome = RunOutcome::kReturned;
+  // The newest one that is known; empty when there is none.
+  std::string checkpoint;
+
+  bool operator==(const TaskEnd&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(task, attempt, outcome, checkpoint);
+  }
+};
+
+// Committed before the workers may forget the ends.
+struct EndTasks {
+  // Of the leader that decided it.
+  std::uint64_t term = 0;
+  std::vector<TaskEnd> ends;
+  std::uint64_t now_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(term, ends, now_ms);
+  }
+};
+
+// A worker announced itself for the first time, or began to drain.
+struct RecordWorker {
+  WorkerDescription worker;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(worker);
+  }
+};
+
+struct RemoveWorker {
+  WorkerLife life;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(life);
+  }
+};
+
+// Drops jobs that ended before this time (milliseconds since the Unix epoch).
+struct ForgetJobs {
+  std::uint64_t ended_before_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(ended_before_ms);
+  }
+};
+
+using Command = std::variant<PutConfiguration,
+                             SetDomainService,
+                             SubmitJob,
+                             CancelJob,
+                             TakeOver,
+                             PlaceTasks,
+                             EndTasks,
+                             RecordWorker,
+                             RemoveWorker,
+                             ForgetJobs>;
+
+// What a command did.
+enum class CommandReply : std::uint8_t {
+  kApplied,
+  // It had been applied before, or a newer change is in force.
+  kNoChange,
+  kNotFound,
+  // The job id is in use for another job.
+  kConflict,
+};
+
+// Fails with kCorruptData.
+std::string EncodeCommand(const Command& command);
+base::Result<Command> DecodeCommand(std::string_view bytes);
+
+}  // namespace wigeonstair::jobs
+
+#endif  // WIGEONSTAIR_LIBRARIES_JOBS_COMMAND_H_
--- /dev/null
+++ b/libraries/jobs/configuration.cc
@@ -0,0 +1,43 @@
+#include "jobs/configuration.h"
+
+#include <algorithm>
+
+namespace wigeonstair::jobs {
+
+std::optional<QueueMatch> Configuration::Match(std::string_view host,
+                                               std::string_view path) const {
+  // A caller may name the port as well.
+  const std::string_view name = host.substr(0, host.find(':'));
+  const Queue* best = nullptr;
+  for (const Queue& queue : queues) {
+    const bool matches =
+        queue.host == name && path.starts_with(queue.path_prefix);
+    if (matches &&
+        (!best || queue.path_prefix.size() > best->path_prefix.size())) {
+      best = &queue;
+    }
+  }
+  if (!best)
+    return std::nullopt;
+  return QueueMatch{.queue = best,
+                    .rest = path.substr(best->path_prefix.size())};
+}
+
+const Customer* Configuration::FindCustomer(std::string_view key) const {
+  for (const Customer& customer : customers) {
+    if (std::find(customer.keys.begin(), customer.keys.end(), key) !=
+        customer.keys.end()) {
+      return &customer;
+    }
+  }
+  return nullptr;
+}
+
+const Customer* Configuration::FindCustomer(const base::CustomerId& id) const {
+  const auto found =
+      std::find_if(customers.begin(), customers.end(),
+                   [&](const Customer& customer) { return customer.id == id; });
+  return found == customers.end() ? nullptr : &*found;
+}
+
+}  // namespace wigeonstair::jobs
--- /dev/null
+++ b/libraries/jobs/dispatcher.cc
@@ -0,0 +1,249 @@
+#include "jobs/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wigeonstair::jobs {
+
+namespace {
+
+// A worker's clock may run 2% slow, so a lease takes that much longer here.
+constexpr double kSlowestClock = 1.021;
+// Covers the time between a worker's reading of its clock and its arrival.
+constexpr base::Duration kClockSlack = std::chrono::milliseconds(100);
+
+base::Duration OnThisClock(std::uint64_t worker_ms) {
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double, std::milli>(static_cast<double>(worker_ms) *
+                                                kSlowestClock));
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(const JobStore& store, DispatcherOptions options)
+    : store_(store), options_(options) {}
+
+void Dispatcher::Lead(std::uint64_t fencing_token, const Now& now) {
+  Resign();
+  fencing_token_ = fencing_token;
+  SyncWorkers(now);
+  AdoptRuns(now);
+}
+
+void Dispatcher::Resign() {
+  fencing_token_ = 0;
+  workers_.clear();
+  runs_.clear();
+  pending_.clear();
+  actions_.clear();
+}
+
+bool Dispatcher::NeedsRecord(const WorkerDescription& worker) const {
+  const auto known = store_.workers().find(worker.life.id);
+  if (known == store_.workers().end())
+    return true;
+  const WorkerDescription& old = known->second;
+  if (worker.life.born != old.life.born)
+    return worker.life.born > old.life.born;
+  if (worker.sequence <= old.sequence)
+    return false;
+  WorkerDescription same = worker;
+  same.sequence = old.sequence;
+  return same != old;
+}
+
+void Dispatcher::HearWorker(const WorkerDescription& worker,
+                            std::optional<std::uint64_t> clock_ms,
+                            const Now& now) {
+  Worker* known = FindWorker(worker.life);
+  if (known == nullptr || worker.sequence < known->description.sequence)
+    return;
+  known->description.sequence = worker.sequence;
+  known->heard_at = now.instant;
+  if (clock_ms)
+    NoteClock(*known, *clock_ms, now);
+}
+
+Dispatcher::Worker* Dispatcher::FindWorker(const WorkerLife& life) {
+  const auto found = workers_.find(life.id);
+  return found == workers_.end() || found->second.description.life != life
+             ? nullptr
+             : &found->second;
+}
+
+const Dispatcher::Worker* Dispatcher::FindWorker(const WorkerLife& life) const {
+  const auto found = workers_.find(life.id);
+  return found == workers_.end() || found->second.description.life != life
+             ? nullptr
+             : &found->second;
+}
+
+// Takes over what the log says of workers. A new life starts from nothing.
+void Dispatcher::SyncWorkers(const Now& now) {
+  std::erase_if(workers_, [&](const auto& item) {
+    const auto known = store_.workers().find(item.first);
+    return known == store_.workers().end() ||
+           known->second.life != item.second.description.life;
+  });
+  for (const auto& [id, description] : store_.workers()) {
+    const auto [found, inserted] = workers_.try_emplace(id);
+    Worker& worker = found->second;
+    const std::uint64_t sequence =
+        std::max(worker.description.sequence, description.sequence);
+    worker.description = description;
+    worker.description.sequence = sequence;
+    if (!inserted)
+      continue;
+    worker.heard_at = now.instant;
+    worker.answered_at = now.instant;
+    worker.next_hold_at = now.instant;
+    // Whoever led before may have given the longest lease a moment ago.
+    const auto lease_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                              options_.longest_lease)
+                              .count();
+    worker.lease_bound = now.instant + kClockSlack +
+                         OnThisClock(static_cast<std::uint64_t>(lease_ms));
+  }
+}
+
+// Every task that the log shows as placed may run. Jobs that have ended count
+// as well: their tasks may not be stopped yet.
+void Dispatcher::AdoptRuns(const Now& now) {
+  for (const auto& [id, job] : store_.jobs()) {
+    for (const auto& [place, tasks] : job.progress) {
+      for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        const TaskProgress& task = tasks[index];
+        if (task.phase != TaskPhase::kPlaced)
+          continue;
+        const Placement placement{.task = {.job = id,
+                                           .occurrence = place.first,
+                                           .step = place.second,
+                                           .index = index},
+                                  .attempt = task.attempt,
+                                  .worker = task.worker};
+        AddRun(placement, now);
+        Run& run = runs_.at({placement.task, placement.attempt});
+        run.phase = RunPhase::kRunning;
+        run.starts_sent = 1;
+        run.settled_at = now.instant;
+      }
+    }
+  }
+}
+
+std::uint64_t Dispatcher::ClockOf(const Worker& worker, const Now& now) const {
+  const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now.instant - worker.clock_at);
+  return worker.clock_ms.value_or(0) +
+         static_cast<std::uint64_t>(std::max<std::int64_t>(elapsed.count(), 0));
+}
+
+void Dispatcher::NoteClock(Worker& worker,
+                           std::uint64_t clock_ms,
+                           const Now& now) {
+  // An answer may be older than one that overtook it.
+  if (worker.clock_ms && clock_ms < *worker.clock_ms)
+    return;
+  worker.clock_ms = clock_ms;
+  worker.clock_at = now.instant;
+  if (worker.lease_until_ms > 0) {
+    const std::uint64_t left =
+        worker.lease_until_ms > clock_ms ? worker.lease_until_ms - clock_ms : 0;
+    worker.lease_bound = now.instant + kClockSlack + OnThisClock(left);
+  }
+}
+
+void Dispatcher::ExtendLeaseBound(Worker& worker,
+                                  std::uint64_t lease_until_ms,
+                                  const Now& now) {
+  worker.lease_until_ms = std::max(worker.lease_until_ms, lease_until_ms);
+  const std::uint64_t since = worker.clock_ms.value_or(0);
+  const std::uint64_t left =
+      worker.lease_until_ms > since ? worker.lease_until_ms - since : 0;
+  const base::Instant from = worker.clock_ms ? worker.clock_at : now.instant;
+  worker.lease_bound =
+      std::max(worker.lease_bound, from + kClockSlack + OnThisClock(left));
+}
+
+void Dispatcher::Propose(Command command, std::optional<Pending> pending) {
+  const std::uint64_t id = ++last_proposal_;
+  if (pending)
+    pending_.emplace(id, std::move(*pending));
+  actions_.emplace_back(ProposeAction{.id = id, .command = std::move(command)});
+}
+
+void Dispatcher::OnProposed(std::uint64_t id, bool committed, const Now& now) {
+  const auto found = pending_.find(id);
+  if (found == pending_.end())
+    return;
+  const Pending pending = std::move(found->second);
+  pending_.erase(found);
+  if (const auto* placed = std::get_if<std::vector<RunKey>>(&pending)) {
+    for (const RunKey& key : *placed) {
+      const auto run = runs_.find(key);
+      if (run == runs_.end() || run->second.phase != RunPhase::kProposed)
+        continue;
+      // A placement that is in doubt may be committed later, but nothing was
+      // sent; as a run that has settled it is compared with the next list.
+      run->second.phase = committed ? RunPhase::kStarting : RunPhase::kRunning;
+      if (!committed) {
+        run->second.starts_sent = 1;
+        run->second.settled_at = now.instant;
+      }
+    }
+  } else {
+    const auto& ends = std::get<PendingEnds>(pending);
+    for (const RunKey& key : ends.runs) {
+      const auto run = runs_.find(key);
+      if (run == runs_.end())
+        continue;
+      if (committed)
+        runs_.erase(run);
+      else
+        run->second.phase = RunPhase::kRunning;
+    }
+    const auto worker = workers_.find(ends.worker);
+    if (worker != workers_.end() &&
+        worker->second.description.life.born == ends.born) {
+      worker->second.ends_in_flight = false;
+      worker->second.next_hold_at = now.instant;
+      if (committed) {
+        worker->second.acknowledged_end =
+            std::max(worker->second.acknowledged_end, ends.last_number);
+      }
+    }
+  }
+}
+
+void Dispatcher::Tick(const Now& now) {
+  if (!leads())
+    return;
+  SyncWorkers(now);
+  ExpireWorkers(now);
+  DriveRuns(now);
+  PlaceRound(now);
+  DriveHolds(now);
+}
+
+std::vector<Action> Dispatcher::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+std::vector<Decision> Dispatcher::TakeDecisions() {
+  return std::exchange(decisions_, {});
+}
+
+void Dispatcher::Decide(std::string_view kind,
+                        const RunKey& run,
+                        const base::WorkerId& worker,
+                        std::string reason,
+                        base::Duration input_age) {
+  decisions_.push_back({.kind = kind,
+                        .task = run.task,
+                        .attempt = run.attempt,
+                        .worker = worker,
+                        .reason = std::move(reason),
+                        .input_age = input_age});
+}
+
+}  // namespace wigeonstair::jobs
--- /dev/null
+++ b/libraries/jobs/dispatcher.h
@@ -0,0 +1,281 @@
+#ifndef WIGEONSTAIR_LIBRARIES_JOBS_DISPATCHER_H_
+#define WIGEONSTAIR_LIBRARIES_JOBS_DISPATCHER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/monotonic_clock.h"
+#include "jobs/actions.h"
+#include "jobs/job_store.h"
+#include "jobs/planner.h"
+#include "jobs/run_times.h"
+
+namespace wigeonstair::jobs {
+
+struct DispatcherOptions {
+  // The longest lease that a worker gives.
+  base::Duration longest_lease = std::chrono::seconds(6);
+  // The members of a gang must be present within this time of the first.
+  base::Duration gang_wait = std::chrono::seconds(3);
+  // A stopped task has ended after this time.
+  base::Duration stop_limit = std::chrono::milliseconds(900);
+  // How much longer tasks take away from their rack.
+  double remote_factor = 3;
+  // A start may be sent so long before the due time of its occurrence.
+  base::Duration early_start = std::chrono::milliseconds(100);
+  // Between two heartbeats of a worker.
+  base::Duration heartbeat = std::chrono::milliseconds(1500);
+};
+
+// A decision and why it was made, for the log.
+struct Decision {
+  std::string_view kind;
+  TaskRef task;
+  std::uint32_t attempt = 0;
+  base::WorkerId worker;
+  std::string reason;
+  base::Duration input_age{};
+};
+
+struct Now {
+  // For leases and timeouts.
+  base::Instant instant;
+  // Milliseconds since the Unix epoch, for due times and records.
+  std::uint64_t wall_ms = 0;
+};
+
+// Decides what runs where while this host leads the group. Pure: the owner
+// feeds events with the current time and carries out the actions in their
+// order. A start is sent only after its placement is committed, so a new leader
+// knows from the log each worker that a task may run on.
+class Dispatcher {
+ public:
+  // `store` outlives the object and changes only between calls.
+  Dispatcher(const JobStore& store, DispatcherOptions options);
+
+  // This host leads under `fencing_token` and has applied all that was
+  // committed before.
+  void Lead(std::uint64_t fencing_token, const Now& now);
+  // Another host may lead; forgets everything that is not durable.
+  void Resign();
+  bool leads() const { return fencing_token_ != 0; }
+
+  // A heartbeat. Returns whether its contents are worth a RecordWorker command
+  // first.
+  bool NeedsRecord(const WorkerDescription& worker) const;
+  void HearWorker(const WorkerDescription& worker,
+                  std::optional<std::uint64_t> clock_ms,
+                  const Now& now);
+
+  void OnProposed(std::uint64_t id, bool committed, const Now& now);
+  void OnStartAnswer(const StartAction& call,
+                     const CallAnswer& answer,
+                     const Now& now);
+  void OnStopAnswer(const StopAction& call,
+                    const CallAnswer& answer,
+                    const Now& now);
+  void OnHoldAnswer(const HoldAction& call,
+                    base::Instant sent_at,
+                    const HoldAnswer& answer,
+                    const Now& now);
+  // Makes all decisions that are due. Called often, and soon after each event
+  // and each applied command.
+  void Tick(const Now& now);
+
+  std::vector<Action> TakeActions();
+  std::vector<Decision> TakeDecisions();
+
+  // When a job of the queue that comes now would be done too late, the time
+  // after which it should come again.
+  std::optional<base::Duration> RefusalOf(const Queue& queue,
+                                          const JobSpec& spec,
+                                          const base::CustomerId& customer,
+                                          const Now& now) const;
+
+  // For tests and metrics.
+  std::size_t run_count() const { return runs_.size(); }
+  std::size_t waiting_tasks() const { return waiting_tasks_; }
+
+ private:
+  enum class RunPhase {
+    // The placement is not committed yet.
+    kProposed,
+    // Start calls are sent until one is answered.
+    kStarting,
+    kRunning,
+    // A stop is being sent, or was accepted and its end is not listed yet.
+    kStopping,
+    // The end is not committed yet.
+    kEnding,
+  };
+
+  struct Run {
+    RunPhase phase = RunPhase::kProposed;
+    WorkerLife worker;
+    Resources resources;
+    bool gang = false;
+    bool checkpointing = false;
+    bool remote = false;
+    std::uint32_t priority = 0;
+    base::CustomerId customer;
+    std::string queue;
+    base::Instant placed_at;
+    // When the first start was sent; the gang's wait begins then.
+    std::optional<base::Instant> first_sent_at;
+    std::optional<base::Instant> running_since;
+    // A list that was asked for later shows the run if it exists.
+    std::optional<base::Instant> settled_at;
+    bool call_in_flight = false;
+    int starts_sent = 0;
+    base::Instant next_call_at;
+    // The task must not be reported as ended: a later list will tell.
+    bool stop_accepted = false;
+    std::uint32_t percent = 0;
+    base::Instant progress_at;
+    std::string checkpoint;
+  };
+
+  struct Worker {
+    WorkerDescription description;
+    // Of the last report or answer.
+    base::Instant heard_at;
+    // Of the last answer to a call; leases are extended only after one.
+    base::Instant answered_at;
+    // The worker's clock when it was last heard.
+    std::optional<std::uint64_t> clock_ms;
+    base::Instant clock_at;
+    // The longest lease that it was told, on its clock; 0 when unknown.
+    std::uint64_t lease_until_ms = 0;
+    // Nothing there can run longer; on this host's clock.
+    base::Instant lease_bound;
+    std::uint64_t acknowledged_end = 0;
+    std::uint64_t told_end = 0;
+    bool hold_in_flight = false;
+    bool listed_in_term = false;
+    base::Instant next_hold_at;
+    // Commands for its ends that are not committed yet.
+    bool ends_in_flight = false;
+    // Evidence against it: failures, refusals and silences since the last
+    // success.
+    int failures = 0;
+    base::Instant avoid_until;
+    bool removal_proposed = false;
+  };
+
+  struct PendingEnds {
+    // Empty when no list led to them.
+    base::WorkerId worker;
+    std::uint64_t born = 0;
+    std::uint64_t last_number = 0;
+    std::vector<RunKey> runs;
+  };
+
+  using Pending = std::variant<std::vector<RunKey>, PendingEnds>;
+
+  struct ReadyStep {
+    StepRef step;
+    const JobRecord* job = nullptr;
+    const StepSpec* spec = nullptr;
+    std::vector<std::uint32_t> waiting;
+    std::uint64_t due_ms = 0;
+    std::uint64_t objective_ms = 0;
+    double work_ms = 0;
+  };
+
+  // dispatcher.cc
+  void Propose(Command command, std::optional<Pending> pending);
+  void Decide(std::string_view kind,
+              const RunKey& run,
+              const base::WorkerId& worker,
+              std::string reason,
+              base::Duration input_age = {});
+  Worker* FindWorker(const WorkerLife& life);
+  const Worker* FindWorker(const WorkerLife& life) const;
+  void SyncWorkers(const Now& now);
+  void AdoptRuns(const Now& now);
+  std::uint64_t ClockOf(const Worker& worker, const Now& now) const;
+  void NoteClock(Worker& worker, std::uint64_t clock_ms, const Now& now);
+  void ExtendLeaseBound(Worker& worker,
+                        std::uint64_t lease_until_ms,
+                        const Now& now);
+
+  // dispatcher_runs.cc
+  void AddRun(const Placement& placement, const Now& now);
+  void DriveRuns(const Now& now);
+  void DriveStart(const RunKey& key, Run& run, const Now& now);
+  void DriveStop(const RunKey& key, Run& run, const Now& now);
+  bool MayStart(const RunKey& key, const Run& run, const Now& now) const;
+  std::optional<std::string> StopReason(const RunKey& key,
+                                        const Run& run,
+                                        const Now& now) const;
+  void RequestStop(const RunKey& key,
+                   Run& run,
+                   std::string reason,
+                   const Now& now);
+  void StopGang(const RunKey& member,
+                const std::string& reason,
+                const Now& now);
+  void ReturnRuns(const std::vector<RunKey>& keys,
+                  std::string_view reason,
+                  const Now& now);
+  std::string GangCheckpoint(const TaskRef& task) const;
+
+  // dispatcher_lists.cc
+  void DriveHolds(const Now& now);
+  void SendHold(Worker& worker, std::uint32_t wait_ms, const Now& now);
+  void TakeEnds(Worker& worker, const HoldAnswer::Lists& lists, const Now& now);
+  void CompareRuns(Worker& worker,
+                   base::Instant sent_at,
+                   const HoldAnswer::Lists& lists,
+                   const Now& now);
+  void ExpireWorkers(const Now& now);
+  void LearnFrom(const ListedEnd& end, Worker& worker, const Now& now);
+
+  // dispatcher_placement.cc
+  void PlaceRound(const Now& now);
+  std::vector<WorkerRoom> Rooms(const Now& now) const;
+  std::vector<ReadyStep> ReadySteps(const Now& now) const;
+  std::vector<std::uint32_t> UsedRooms(const std::vector<WorkerRoom>& rooms,
+                                       const StepRef& step) const;
+  bool PlaceStep(const ReadyStep& ready,
+                 std::vector<WorkerRoom>& rooms,
+                 std::vector<Placement>& placements,
+                 const Now& now);
+  void Commit(const ReadyStep& ready,
+              const Plan& plan,
+              std::vector<WorkerRoom>& rooms,
+              std::vector<Placement>& placements,
+              const Now& now);
+  bool Preempt(const ReadyStep& ready,
+               std::vector<WorkerRoom>& rooms,
+               const Now& now);
+  std::map<base::CustomerId, std::uint64_t> GuaranteedUse() const;
+  RackRule RuleFor(const ReadyStep& ready,
+                   const std::vector<WorkerRoom>& rooms,
+                   const Now& now) const;
+  double WorkOf(const JobRecord& job, std::uint32_t step) const;
+  double ChainOf(const std::string& queue, const JobSpec& spec) const;
+
+  const JobStore& store_;
+  const DispatcherOptions options_;
+  // 0 while another host leads.
+  std::uint64_t fencing_token_ = 0;
+  std::map<base::WorkerId, Worker> workers_;
+  std::map<RunKey, Run> runs_;
+  std::map<std::uint64_t, Pending> pending_;
+  std::uint64_t last_proposal_ = 0;
+  RunTimes run_times_;
+  std::size_t waiting_tasks_ = 0;
+  std::vector<Action> actions_;
+  std::vector<Decision> decisions_;
+};
+
+}  // namespace wigeonstair::jobs
+
+#endif  // WIGEONSTAIR_LIBRARIES_JOBS_DISPATCHER_H_
--- /dev/null
+++ b/libraries/jobs/dispatcher_lists.cc
@@ -0,0 +1,240 @@
+#include <algorithm>
+#include <utility>
+
+#include "jobs/dispatcher.h"
+
+namespace wigeonstair::jobs {
+
+namespace {
+
+// An answer to a hold waits so long for an end. Each look at a worker has a
+// price, and a lease must outlast several of them.
+constexpr std::uint32_t kHoldWaitMs = 1500;
+// A worker without an answer for this time gets no longer leases, so that its
+// tasks may start elsewhere once the last one has run out.
+constexpr base::Duration kSilenceLimit = std::chrono::milliseconds(3500);
+// Between holds that are not answered.
+constexpr base::Duration kHoldRetry = std::chrono::milliseconds(400);
+// A worker that was not heard for this time is forgotten.
+constexpr base::Duration kForgetAfter = std::chrono::seconds(45);
+// Failures in a row after which a worker gets no tasks for a while.
+constexpr int kFailuresToAvoid = 2;
+constexpr base::Duration kFailurePause = std::chrono::seconds(6);
+
+RunOutcome OutcomeOf(ListedOutcome outcome) {
+  switch (outcome) {
+    case ListedOutcome::kDone:
+      return RunOutcome::kDone;
+    case ListedOutcome::kFailed:
+      return RunOutcome::kFailed;
+    case ListedOutcome::kStopped:
+    case ListedOutcome::kLapsed:
+    case ListedOutcome::kBroken:
+    case ListedOutcome::kAlone:
+      return RunOutcome::kReturned;
+  }
+  return RunOutcome::kReturned;
+}
+
+std::string_view NameOf(ListedOutcome outcome) {
+  switch (outcome) {
+    case ListedOutcome::kDone:
+      return "done";
+    case ListedOutcome::kFailed:
+      return "failed";
+    case ListedOutcome::kStopped:
+      return "stopped";
+    case ListedOutcome::kLapsed:
+      return "lease_expired";
+    case ListedOutcome::kBroken:
+      return "gang_broken";
+    case ListedOutcome::kAlone:
+      return "gang_incomplete";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+void Dispatcher::DriveHolds(const Now& now) {
+  std::set<base::WorkerId> busy;
+  for (const auto& [key, run] : runs_) {
+    if (run.starts_sent > 0 && run.phase != RunPhase::kProposed)
+      busy.insert(run.worker.id);
+  }
+  for (auto& [id, worker] : workers_) {
+    if (worker.hold_in_flight || worker.ends_in_flight ||
+        now.instant < worker.next_hold_at) {
+      continue;
+    }
+    const bool runs = busy.contains(id);
+    if (!runs && worker.listed_in_term &&
+        worker.told_end == worker.acknowledged_end) {
+      continue;
+    }
+    SendHold(worker, runs && worker.listed_in_term ? kHoldWaitMs : 0, now);
+  }
+}
+
+void Dispatcher::SendHold(Worker& worker,
+                          std::uint32_t wait_ms,
+                          const Now& now) {
+  HoldAction hold{.worker = worker.description.life,
+                  .address = worker.description.address,
+                  .fencing_token = fencing_token_,
+                  .acknowledged_end = worker.acknowledged_end,
+                  .wait_ms = wait_ms};
+  const bool silent = now.instant - worker.answered_at > kSilenceLimit;
+  if (worker.clock_ms && !silent) {
+    const auto lease_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+        options_.longest_lease);
+    hold.lease_until_ms =
+        ClockOf(worker, now) + static_cast<std::uint64_t>(lease_ms.count());
+    ExtendLeaseBound(worker, *hold.lease_until_ms, now);
+  }
+  worker.hold_in_flight = true;
+  actions_.emplace_back(std::move(hold));
+}
+
+void Dispatcher::OnHoldAnswer(const HoldAction& call,
+                              base::Instant sent_at,
+                              const HoldAnswer& answer,
+                              const Now& now) {
+  Worker* worker = FindWorker(call.worker);
+  if (!leads() || worker == nullptr || call.fencing_token != fencing_token_)
+    return;
+  worker->hold_in_flight = false;
+  const bool same_life = answer.lists && answer.lists->born == call.worker.born;
+  if (!same_life) {
+    worker->next_hold_at = now.instant + kHoldRetry;
+    return;
+  }
+  NoteClock(*worker, answer.lists->clock_ms, now);
+  worker->heard_at = now.instant;
+  worker->answered_at = now.instant;
+  worker->listed_in_term = true;
+  worker->next_hold_at = now.instant;
+  worker->told_end = std::max(worker->told_end, call.acknowledged_end);
+  CompareRuns(*worker, sent_at, *answer.lists, now);
+  TakeEnds(*worker, *answer.lists, now);
+}
+
+void Dispatcher::CompareRuns(Worker& worker,
+                             base::Instant sent_at,
+                             const HoldAnswer::Lists& lists,
+                             const Now& now) {
+  std::set<RunKey> listed;
+  for (const ListedRun& entry : lists.running) {
+    listed.insert(entry.run);
+    auto found = runs_.find(entry.run);
+    if (found == runs_.end()) {
+      // A run that this leader did not expect: it is stopped.
+      AddRun({.task = entry.run.task,
+              .attempt = entry.run.attempt,
+              .worker = worker.description.life},
+             now);
+      found = runs_.find(entry.run);
+      found->second.starts_sent = 1;
+      found->second.phase = RunPhase::kRunning;
+    }
+    Run& run = found->second;
+    if (run.worker != worker.description.life)
+      continue;
+    if (run.phase == RunPhase::kStarting) {
+      run.phase = RunPhase::kRunning;
+      run.call_in_flight = false;
+    }
+    if (run.phase == RunPhase::kRunning && !run.settled_at)
+      run.settled_at = now.instant;
+    if (!run.running_since)
+      run.running_since = now.instant;
+    if (entry.percent != run.percent || entry.checkpoint != run.checkpoint)
+      run.progress_at = now.instant;
+    run.percent = entry.percent;
+    if (!entry.checkpoint.empty())
+      run.checkpoint = entry.checkpoint;
+  }
+  for (const ListedEnd& end : lists.ended)
+    listed.insert(end.run);
+  std::vector<RunKey> missing;
+  for (const auto& [key, run] : runs_) {
+    const bool settled = run.settled_at && *run.settled_at < sent_at;
+    const bool expected =
+        run.phase == RunPhase::kRunning ||
+        (run.phase == RunPhase::kStopping && run.stop_accepted);
+    if (run.worker == worker.description.life && settled && expected &&
+        !listed.contains(key)) {
+      missing.push_back(key);
+    }
+  }
+  ReturnRuns(missing, "not_listed", now);
+}
+
+void Dispatcher::TakeEnds(Worker& worker,
+                          const HoldAnswer::Lists& lists,
+                          const Now& now) {
+  EndTasks command{.term = fencing_token_, .now_ms = now.wall_ms};
+  PendingEnds pending{.worker = worker.description.life.id,
+                      .born = worker.description.life.born,
+                      .last_number = worker.acknowledged_end};
+  for (const ListedEnd& end : lists.ended) {
+    if (end.number <= worker.acknowledged_end)
+      continue;
+    pending.last_number = std::max(pending.last_number, end.number);
+    LearnFrom(end, worker, now);
+    const auto run = runs_.find(end.run);
+    if (run != runs_.end() && run->second.worker == worker.description.life) {
+      run->second.phase = RunPhase::kEnding;
+      pending.runs.push_back(end.run);
+    }
+    if (store_.FindTask(end.run.task) == nullptr)
+      continue;
+    command.ends.push_back({.task = end.run.task,
+                            .attempt = end.run.attempt,
+                            .outcome = OutcomeOf(end.outcome),
+                            .checkpoint = end.checkpoint});
+    Decide("end", end.run, worker.description.life.id,
+           std::string(NameOf(end.outcome)));
+  }
+  if (pending.last_number == worker.acknowledged_end)
+    return;
+  worker.ends_in_flight = true;
+  Propose(std::move(command), std::move(pending));
+}
+
+void Dispatcher::LearnFrom(const ListedEnd& end,
+                           Worker& worker,
+                           const Now& now) {
+  if (end.outcome == ListedOutcome::kFailed &&
+      ++worker.failures >= kFailuresToAvoid) {
+    worker.avoid_until = now.instant + kFailurePause;
+  }
+  if (end.outcome != ListedOutcome::kDone)
+    return;
+  worker.failures = 0;
+  const auto found = runs_.find(end.run);
+  const JobRecord* job = store_.FindJob(end.run.task.job);
+  if (found == runs_.end() || job == nullptr || !found->second.running_since ||
+      found->second.remote || found->second.starts_sent != 1) {
+    return;
+  }
+  const TaskProgress* task = store_.FindTask(end.run.task);
+  // A resumed run does not show how long a whole one takes.
+  if (task == nullptr || !task->checkpoint.empty())
+    return;
+  const std::chrono::duration<double, std::milli> took =
+      now.instant - *found->second.running_since;
+  run_times_.Record(job->queue, took.count(),
+                    job->spec.steps[end.run.task.step].estimate_ms);
+}
+
+void Dispatcher::ExpireWorkers(const Now& now) {
+  for (auto& [id, worker] : workers_) {
+    if (worker.removal_proposed || now.instant - worker.heard_at < kForgetAfter)
+      continue;
+    worker.removal_proposed = true;
+    Propose(RemoveWorker{.life = worker.description.life}, std::nullopt);
+  }
+}
+
+}  // namespace wigeonstair::jobs
--- /dev/null
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -0,0 +1,314 @@
+#include <algorithm>
+#include <utility>
+
+#include "jobs/dispatcher.h"
+
+namespace wigeonstair::jobs {
+
+namespace {
+
+// A start without an answer is sent again, which is safe under its number.
+constexpr int kMaximumStarts = 3;
+// Before a call that the worker did not take is sent again.
+constexpr base::Duration kRetryDelay = std::chrono::milliseconds(150);
+// How long a worker gets no further starts after it refused or lost one.
+constexpr base::Duration kRefusalPause = std::chrono::milliseconds(700);
+constexpr base::Duration kSilencePause = std::chrono::seconds(2);
+// Share of the gang's wait after which an incomplete gang is given up, so that
+// the stops arrive before its members end by themselves.
+constexpr int kGangPatienceDivisor = 2;
+
+}  // namespace
+
+void Dispatcher::AddRun(const Placement& placement, const Now& now) {
+  const JobRecord* job = store_.FindJob(placement.task.job);
+  Run run{.worker = placement.worker, .placed_at = now.instant};
+  if (job != nullptr && placement.task.step < job->spec.steps.size()) {
+    const StepSpec& step = job->spec.steps[placement.task.step];
+    run.resources = step.task;
+    if (step.fills)
+      run.resources.cpu = 0;
+    run.gang = step.gang;
+    run.checkpointing = step.checkpointing;
+    run.priority = job->policy.priority;
+    run.customer = job->customer;
+    run.queue = job->queue;
+  }
+  run.progress_at = now.instant;
+  run.next_call_at = now.instant;
+  runs_.insert_or_assign({placement.task, placement.attempt}, std::move(run));
+}
+
+void Dispatcher::DriveRuns(const Now& now) {
+  std::vector<RunKey> gone;
+  std::vector<RunKey> expired;
+  std::vector<RunKey> unsent;
+  for (auto& [key, run] : runs_) {
+    if (run.phase == RunPhase::kProposed || run.phase == RunPhase::kEnding)
+      continue;
+    const Worker* worker = FindWorker(run.worker);
+    if (worker == nullptr) {
+      gone.push_back(key);
+      continue;
+    }
+    if (run.starts_sent > 0 && now.instant > worker->lease_bound) {
+      expired.push_back(key);
+      continue;
+    }
+    if (run.phase != RunPhase::kStopping) {
+      if (auto reason = StopReason(key, run, now)) {
+        if (run.phase == RunPhase::kStarting && run.starts_sent == 0) {
+          unsent.push_back(key);
+          continue;
+        }
+        RequestStop(key, run, std::move(*reason), now);
+      }
+    }
+    if (run.phase == RunPhase::kStarting)
+      DriveStart(key, run, now);
+    else if (run.phase == RunPhase::kStopping)
+      DriveStop(key, run, now);
+  }
+  ReturnRuns(gone, "worker_gone", now);
+  ReturnRuns(expired, "lease_expired", now);
+  ReturnRuns(unsent, "not_started", now);
+}
+
+// Whether a start may still be sent: the worker must not be leaving and its
+// domain must be in service.
+bool Dispatcher::MayStart(const RunKey& key,
+                          const Run& run,
+                          const Now& now) const {
+  const Worker* worker = FindWorker(run.worker);
+  return worker != nullptr && worker->clock_ms &&
+         worker->description.phase == WorkerPhase::kReady &&
+         store_.InService(worker->description.domain) && key.attempt > 0 &&
+         now.instant >= run.placed_at;
+}
+
+std::optional<std::string> Dispatcher::StopReason(const RunKey& key,
+                                                  const Run& run,
+                                                  const Now& now) const {
+  const JobRecord* job = store_.FindJob(key.task.job);
+  if (job == nullptr)
+    return "job_unknown";
+  if (job->ended())
+    return job->state == JobState::kCancelled ? "job_cancelled" : "job_ended";
+  const std::vector<TaskProgress>* tasks =
+      job->FindProgress(key.task.occurrence, key.task.step);
+  if (tasks == nullptr || key.task.index >= tasks->size())
+    return "not_placed";
+  const TaskProgress& task = (*tasks)[key.task.index];
+  if (task.attempt != key.attempt)
+    return "superseded";
+  // The other members of a gang that is done end by themselves.
+  if (task.phase == TaskPhase::kDone)
+    return run.gang ? std::nullopt
+                    : std::optional<std::string>("done_elsewhere");
+  if (task.phase == TaskPhase::kWaiting)
+    return "not_placed";
+  if (run.gang) {
+    const bool whole = std::all_of(tasks->begin(), tasks->end(),
+                                   [&](const TaskProgress& other) {
+                                     return other.phase == TaskPhase::kPlaced &&
+                                            other.attempt == key.attempt;
+                                   });
+    if (!whole)
+      return "gang_incomplete";
+  }
+  if (run.phase == RunPhase::kStarting) {
+    if (!MayStart(key, run, now))
+      return "worker_leaving";
+    const bool late = run.gang && run.first_sent_at &&
+                      now.instant - *run.first_sent_at >
+                          options_.gang_wait / kGangPatienceDivisor;
+    if (late || (run.starts_sent >= kMaximumStarts && !run.call_in_flight))
+      return "start_unanswered";
+  }
+  return std::nullopt;
+}
+
+void Dispatcher::RequestStop(const RunKey& key,
+                             Run& run,
+                             std::string reason,
+                             const Now& now) {
+  run.phase = RunPhase::kStopping;
+  run.next_call_at = now.instant;
+  run.call_in_flight = false;
+  Decide("stop", key, run.worker.id, std::move(reason),
+         now.instant - run.progress_at);
+}
+
+void Dispatcher::DriveStart(const RunKey& key, Run& run, const Now& now) {
+  if (run.call_in_flight || now.instant < run.next_call_at)
+    return;
+  Worker* worker = FindWorker(run.worker);
+  const JobRecord* job = store_.FindJob(key.task.job);
+  const auto lease_ms = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          options_.longest_lease)
+          .count());
+  const std::uint64_t lease_until_ms = ClockOf(*worker, now) + lease_ms;
+  ExtendLeaseBound(*worker, lease_until_ms, now);
+  if (run.starts_sent == 0)
+    Decide("start", key, run.worker.id, run.remote ? "other_rack" : "room",
+           now.instant - worker->heard_at);
+  ++run.starts_sent;
+  run.call_in_flight = true;
+  if (!run.first_sent_at)
+    run.first_sent_at = now.instant;
+  run.settled_at.reset();
+  actions_.emplace_back(StartAction{.run = key,
+                                    .worker = run.worker,
+                                    .address = worker->description.address,
+                                    .payload = job->spec.payload,
+                                    .checkpoint = GangCheckpoint(key.task),
+                                    .lease_until_ms = lease_until_ms,
+                                    .fencing_token = fencing_token_});
+}
+
+// All members of a gang must start from one checkpoint.
+std::string Dispatcher::GangCheckpoint(const TaskRef& task) const {
+  const JobRecord* job = store_.FindJob(task.job);
+  const std::vector<TaskProgress>* tasks =
+      job->FindProgress(task.occurrence, task.step);
+  if (tasks == nullptr)
+    return {};
+  if (!job->spec.steps[task.step].gang)
+    return (*tasks)[task.index].checkpoint;
+  for (const TaskProgress& member : *tasks) {
+    if (!member.checkpoint.empty())
+      return member.checkpoint;
+  }
+  return {};
+}
+
+void Dispatcher::DriveStop(const RunKey& key, Run& run, const Now& now) {
+  if (run.stop_accepted || run.call_in_flight || now.instant < run.next_call_at)
+    return;
+  const Worker* worker = FindWorker(run.worker);
+  run.call_in_flight = true;
+  run.settled_at.reset();
+  actions_.emplace_back(StopAction{.run = key,
+                                   .worker = run.worker,
+                                   .address = worker->description.address,
+                                   .fencing_token = fencing_token_});
+}
+
+void Dispatcher::OnStartAnswer(const StartAction& call,
+                               const CallAnswer& answer,
+                               const Now& now) {
+  const auto found = runs_.find(call.run);
+  if (!leads() || found == runs_.end() || found->second.worker != call.worker ||
+      call.fencing_token != fencing_token_) {
+    return;
+  }
+  Run& run = found->second;
+  Worker* worker = FindWorker(call.worker);
+  if (worker == nullptr)
+    return;
+  if (answer.clock_ms) {
+    NoteClock(*worker, *answer.clock_ms, now);
+    worker->heard_at = now.instant;
+    worker->answered_at = now.instant;
+  }
+  // A stop that was sent meanwhile decides.
+  if (run.phase != RunPhase::kStarting)
+    return;
+  run.call_in_flight = false;
+  switch (answer.result) {
+    case CallResult::kAccepted:
+      run.phase = RunPhase::kRunning;
+      run.running_since = now.instant;
+      run.progress_at = now.instant;
+      run.settled_at = now.instant;
+      break;
+    case CallResult::kOld:
+      // An earlier call with this number was carried out; the lists tell how
+      // its run ended.
+      run.phase = RunPhase::kRunning;
+      run.settled_at = now.instant;
+      break;
+    case CallResult::kNotSent:
+      --run.starts_sent;
+      run.next_call_at = now.instant + kRetryDelay;
+      worker->avoid_until = now.instant + kSilencePause;
+      // Nothing was sent, so the tasks may go elsewhere at once.
+      if (run.starts_sent == 0)
+        ReturnRuns({call.run}, "not_reached", now);
+      break;
+    case CallResult::kUnanswered:
+      run.next_call_at = now.instant;
+      worker->avoid_until = now.instant + kSilencePause;
+      break;
+    case CallResult::kFenced:
+    case CallResult::kLate:
+    case CallResult::kNoRoom:
+    case CallResult::kUnhealthy:
+    case CallResult::kRefused:
+      worker->avoid_until =
+          std::max(worker->avoid_until, now.instant + kRefusalPause);
+      if (answer.result == CallResult::kUnhealthy)
+        ++worker->failures;
+      // An earlier call without an answer may still be carried out.
+      if (run.starts_sent > 1) {
+        RequestStop(call.run, run, "start_refused", now);
+      } else {
+        Decide("refused", call.run, call.worker.id,
+               answer.result == CallResult::kNoRoom ? "no_room" : "refused");
+        ReturnRuns({call.run}, "start_refused", now);
+      }
+      break;
+  }
+}
+
+void Dispatcher::OnStopAnswer(const StopAction& call,
+                              const CallAnswer& answer,
+                              const Now& now) {
+  const auto found = runs_.find(call.run);
+  if (!leads() || found == runs_.end() || found->second.worker != call.worker ||
+      call.fencing_token != fencing_token_) {
+    return;
+  }
+  Run& run = found->second;
+  Worker* worker = FindWorker(call.worker);
+  if (worker == nullptr)
+    return;
+  if (answer.clock_ms) {
+    NoteClock(*worker, *answer.clock_ms, now);
+    worker->heard_at = now.instant;
+    worker->answered_at = now.instant;
+  }
+  if (run.phase != RunPhase::kStopping)
+    return;
+  run.call_in_flight = false;
+  if (answer.result == CallResult::kAccepted ||
+      answer.result == CallResult::kOld) {
+    run.stop_accepted = true;
+    run.settled_at = now.instant;
+    worker->next_hold_at = std::min(worker->next_hold_at, now.instant);
+  } else {
+    run.next_call_at = now.instant + kRetryDelay;
+  }
+}
+
+void Dispatcher::ReturnRuns(const std::vector<RunKey>& keys,
+                            std::string_view reason,
+                            const Now& now) {
+  if (keys.empty())
+    return;
+  EndTasks command{.term = fencing_token_, .now_ms = now.wall_ms};
+  for (const RunKey& key : keys) {
+    Run& run = runs_.at(key);
+    run.phase = RunPhase::kEnding;
+    command.ends.push_back({.task = key.task,
+                            .attempt = key.attempt,
+                            .outcome = RunOutcome::kReturned,
+                            .checkpoint = run.checkpoint});
+    Decide("return", key, run.worker.id, std::string(reason),
+           now.instant - run.progress_at);
+  }
+  Propose(std::move(command), PendingEnds{.runs = keys});
+}
+
+}  // namespace wigeonstair::jobs
--- /dev/null
+++ b/libraries/jobs/job_store.h
@@ -0,0 +1,83 @@
+#ifndef WIGEONSTAIR_LIBRARIES_JOBS_JOB_STORE_H_
+#define WIGEONSTAIR_LIBRARIES_JOBS_JOB_STORE_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result.h"
+#include "jobs/command.h"
+
+namespace wigeonstair::jobs {
+
+// The replicated state: what was accepted, what was placed where and what has
+// ended. Deterministic.
+class JobStore {
+ public:
+  CommandReply Apply(const Command& command);
+
+  const Configuration& configuration() const { return configuration_; }
+  // As the operator sent it.
+  const std::string& document() const { return document_; }
+  bool InService(const base::DomainId& domain) const {
+    return !out_of_service_.contains(domain);
+  }
+  const std::map<base::JobId, JobRecord>& jobs() const { return jobs_; }
+  // Jobs that have not ended.
+  const std::set<base::JobId>& open_jobs() const { return open_jobs_; }
+  const JobRecord* FindJob(const base::JobId& id) const;
+  // Null when the job or its placement is not known.
+  const TaskProgress* FindTask(const TaskRef& task) const;
+  const std::map<base::WorkerId, WorkerDescription>& workers() const {
+    return workers_;
+  }
+
+  // Jobs of a queue of which no task was ever placed.
+  std::uint64_t PendingJobs(const std::string& queue) const;
+
+  std::string Snapshot() const;
+  // Fails with kCorruptData.
+  base::Result<std::monostate> Restore(std::string_view snapshot);
+
+  bool operator==(const JobStore&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(term_, configuration_, document_, out_of_service_, jobs_,
+            open_jobs_, workers_);
+  }
+
+ private:
+  CommandReply Execute(const PutConfiguration& command);
+  CommandReply Execute(const SetDomainService& command);
+  CommandReply Execute(const SubmitJob& command);
+  CommandReply Execute(const CancelJob& command);
+  CommandReply Execute(const TakeOver& command);
+  CommandReply Execute(const PlaceTasks& command);
+  CommandReply Execute(const EndTasks& command);
+  CommandReply Execute(const RecordWorker& command);
+  CommandReply Execute(const RemoveWorker& command);
+  CommandReply Execute(const ForgetJobs& command);
+
+  void Place(const Placement& placement);
+  void End(const TaskEnd& end, std::uint64_t now_ms);
+  void EndGang(JobRecord& job, const TaskEnd& end);
+  void EndSingle(const StepSpec& step, TaskProgress& task, const TaskEnd& end);
+  void Close(JobRecord& job, JobState state, std::uint64_t now_ms);
+
+  // Of the newest leader.
+  std::uint64_t term_ = 0;
+  Configuration configuration_;
+  std::string document_;
+  std::set<base::DomainId> out_of_service_;
+  std::map<base::JobId, JobRecord> jobs_;
+  std::set<base::JobId> open_jobs_;
+  std::map<base::WorkerId, WorkerDescription> workers_;
+};
+
+}  // namespace wigeonstair::jobs
+
+#endif  // WIGEONSTAIR_LIBRARIES_JOBS_JOB_STORE_H_
--- /dev/null
+++ b/libraries/jobs/planner.cc
@@ -0,0 +1,196 @@
+#include "jobs/planner.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <tuple>
+#include <utility>
+
+namespace wigeonstair::jobs {
+
+namespace {
+
+Resources Counted(const StepSpec& step) {
+  Resources task = step.task;
+  // Filling tasks take what others leave, so their processors are not reserved.
+  if (step.fills)
+    task.cpu = 0;
+  return task;
+}
+
+// Rooms that can take tasks now, the tightest fit first.
+std::vector<std::size_t> Candidates(const std::vector<WorkerRoom>& rooms,
+                                    const std::vector<std::uint32_t>& used,
+                                    const PlanRequest& request) {
+  std::vector<std::size_t> found;
+  for (std::size_t i = 0; i < rooms.size(); ++i) {
+    if (Accepts(rooms[i], request) &&
+        Fitting(rooms[i].free, *request.step, used[i]) > 0) {
+      found.push_back(i);
+    }
+  }
+  const bool needs_accelerator = request.step->task.accelerators > 0;
+  const auto key = [&](std::size_t i) {
+    const WorkerRoom& room = rooms[i];
+    // Tasks without accelerators keep away from workers that have many free.
+    return std::tuple(room.penalty, room.free.accelerators,
+                      needs_accelerator ? room.free.cpu : 0,
+                      room.free.memory_mb, i);
+  };
+  std::sort(found.begin(), found.end(),
+            [&](std::size_t a, std::size_t b) { return key(a) < key(b); });
+  return found;
+}
+
+// Takes the tightest rooms first, up to the requested count.
+std::vector<std::size_t> Fill(const std::vector<WorkerRoom>& rooms,
+                              const std::vector<std::uint32_t>& used,
+                              const PlanRequest& request,
+                              const std::vector<std::size_t>& candidates) {
+  std::vector<std::size_t> taken;
+  for (const std::size_t i : candidates) {
+    const std::uint32_t fits = Fitting(rooms[i].free, *request.step, used[i]);
+    for (std::uint32_t n = 0; n < fits && taken.size() < request.count; ++n)
+      taken.push_back(i);
+    if (taken.size() == request.count)
+      break;
+  }
+  return taken;
+}
+
+struct RackRoom {
+  std::vector<std::size_t> rooms;
+  std::uint64_t fits = 0;
+  std::uint64_t free_accelerators = 0;
+  int worst_penalty = 0;
+};
+
+std::map<base::RackId, RackRoom> ByRack(
+    const std::vector<WorkerRoom>& rooms,
+    const std::vector<std::uint32_t>& used,
+    const PlanRequest& request,
+    const std::vector<std::size_t>& candidates) {
+  std::map<base::RackId, RackRoom> racks;
+  for (const std::size_t i : candidates) {
+    RackRoom& rack = racks[rooms[i].rack];
+    rack.rooms.push_back(i);
+    rack.fits += Fitting(rooms[i].free, *request.step, used[i]);
+    rack.free_accelerators += rooms[i].free.accelerators;
+    rack.worst_penalty = std::max(rack.worst_penalty, rooms[i].penalty);
+  }
+  return racks;
+}
+
+// The rack that holds the whole request and keeps the least room besides it.
+const RackRoom* TightestRack(const std::map<base::RackId, RackRoom>& racks,
+                             std::uint32_t count) {
+  const RackRoom* best = nullptr;
+  const auto key = [](const RackRoom& rack) {
+    return std::pair(rack.worst_penalty, rack.free_accelerators);
+  };
+  for (const auto& [id, rack] : racks) {
+    if (rack.fits >= count && (best == nullptr || key(rack) < key(*best)))
+      best = &rack;
+  }
+  return best;
+}
+
+// Candidates rack by rack, those with the most room first, so that a gang that
+// must span racks spans few.
+std::vector<std::size_t> FewRacks(
+    const std::map<base::RackId, RackRoom>& racks) {
+  std::vector<const RackRoom*> order;
+  for (const auto& [id, rack] : racks)
+    order.push_back(&rack);
+  std::stable_sort(order.begin(), order.end(),
+                   [](const RackRoom* a, const RackRoom* b) {
+                     return std::pair(a->worst_penalty, b->fits) <
+                            std::pair(b->worst_penalty, a->fits);
+                   });
+  std::vector<std::size_t> rooms;
+  for (const RackRoom* rack : order)
+    rooms.insert(rooms.end(), rack->rooms.begin(), rack->rooms.end());
+  return rooms;
+}
+
+bool PrefersRack(const StepSpec& step) {
+  return step.rack_local || !step.data_rack.empty();
+}
+
+}  // namespace
+
+bool Accepts(const WorkerRoom& room, const PlanRequest& request) {
+  const StepSpec& step = *request.step;
+  return room.pool == request.pool && room.capacity.Fits(Counted(step)) &&
+         (step.required_label.empty() ||
+          std::find(room.labels.begin(), room.labels.end(),
+                    step.required_label) != room.labels.end());
+}
+
+std::uint32_t Fitting(const Resources& space,
+                      const StepSpec& step,
+                      std::uint32_t used) {
+  const Resources task = Counted(step);
+  std::uint64_t fits =
+      step.max_per_worker == 0
+          ? step.count
+          : step.max_per_worker - std::min(used, step.max_per_worker);
+  if (task.cpu > 0)
+    fits = std::min(fits, space.cpu / task.cpu);
+  if (task.memory_mb > 0)
+    fits = std::min(fits, space.memory_mb / task.memory_mb);
+  if (task.accelerators > 0)
+    fits = std::min(fits, space.accelerators / task.accelerators);
+  return static_cast<std::uint32_t>(fits);
+}
+
+std::optional<Plan> PlanAll(const std::vector<WorkerRoom>& rooms,
+                            const std::vector<std::uint32_t>& used,
+                            const PlanRequest& request,
+                            RackRule rule) {
+  const std::vector<std::size_t> candidates = Candidates(rooms, used, request);
+  const StepSpec& step = *request.step;
+  std::map<base::RackId, RackRoom> racks =
+      ByRack(rooms, used, request, candidates);
+  if (!step.data_rack.empty()) {
+    const auto near = racks.find(base::RackId(step.data_rack));
+    if (near != racks.end() && near->second.fits >= request.count)
+      return Plan{.rooms = Fill(rooms, used, request, near->second.rooms)};
+    if (rule == RackRule::kOneRack)
+      return std::nullopt;
+  }
+  if (step.rack_local) {
+    if (const RackRoom* rack = TightestRack(racks, request.count)) {
+      return Plan{.rooms = Fill(rooms, used, request, rack->rooms),
+                  .remote = !step.data_rack.empty()};
+    }
+    if (rule == RackRule::kOneRack)
+      return std::nullopt;
+  }
+  const bool spans = PrefersRack(step);
+  std::vector<std::size_t> taken =
+      Fill(rooms, used, request, spans ? FewRacks(racks) : candidates);
+  if (taken.size() < request.count)
+    return std::nullopt;
+  return Plan{.rooms = std::move(taken), .remote = spans};
+}
+
+Plan PlanSome(const std::vector<WorkerRoom>& rooms,
+              const std::vector<std::uint32_t>& used,
+              const PlanRequest& request,
+              RackRule rule) {
+  const std::vector<std::size_t> candidates = Candidates(rooms, used, request);
+  if (request.step->data_rack.empty())
+    return Plan{.rooms = Fill(rooms, used, request, candidates)};
+  std::vector<std::size_t> near;
+  std::vector<std::size_t> far;
+  for (const std::size_t i : candidates) {
+    (rooms[i].rack.value() == request.step->data_rack ? near : far)
+        .push_back(i);
+  }
+  if (rule == RackRule::kAnyRack)
+    near.insert(near.end(), far.begin(), far.end());
+  return Plan{.rooms = Fill(rooms, used, request, near)};
+}
+
+}  // namespace wigeonstair::jobs
--- a/libraries/net/loop_object.cc
+++ b/libraries/net/loop_object.cc
@@ -37,10 +37,10 @@
 }
 
 void TuneConnection(boost::asio::ip::tcp::socket& socket) {
-  constexpr int kUnacknowledgedMilliseconds = 10'000;
-  constexpr int kIdleSeconds = 5;
-  constexpr int kProbeSeconds = 2;
-  constexpr int kProbes = 3;
+  constexpr int kUnacknowledgedMilliseconds = 2500;
+  constexpr int kIdleSeconds = 2;
+  constexpr int kProbeSeconds = 1;
+  constexpr int kProbes = 2;
   // A failure leaves the system's defaults, which only delays detection.
   const int handle = socket.native_handle();
   const auto set = [&](int level, int name, int value) {
--- a/services/control/control_process.cc
+++ b/services/control/control_process.cc
@@ -17,7 +17,7 @@
 #include "services/control/domain_controller.h"
 #include "services/control/http_router.h"
 #include "services/control/log_access.h"
-#include "services/control/peer_channels.h"
+#include "net/peer_channels.h"
 #include "services/control/record_service.h"
 #include "services/control/replica_group.h"
 #include "services/control/report_limits.h"
@@ -81,7 +81,7 @@
   base::CounterRegistry counters;
   net::EventLoop loop;
   std::optional<net::EventLoop::TimerId> tick;
-  PeerChannels channels;
+  net::PeerChannels channels;
   std::unique_ptr<ReplicatedCluster> cluster;
   std::unique_ptr<ReplicatedRecords> records;
   std::unique_ptr<consensus::ReplicaRuntime> cluster_replica;
--- a/services/control/domain_controller.h
+++ b/services/control/domain_controller.h
@@ -20,7 +20,7 @@
 #include "placement/views.h"
 #include "services/control/cluster_access.h"
 #include "services/control/operator_api.h"
-#include "services/control/peer_channels.h"
+#include "net/peer_channels.h"
 #include "services/control/replicated_cluster.h"
 #include "services/control/worker_table.h"
 #include "settings/process_settings.h"
@@ -34,7 +34,7 @@
   const ReplicatedCluster* cluster = nullptr;
   consensus::ReplicaRuntime* cluster_replica = nullptr;
   ClusterAccess* access = nullptr;
-  PeerChannels* channels = nullptr;
+  net::PeerChannels* channels = nullptr;
   std::shared_ptr<base::EventLog> event_log;
   base::CounterRegistry* counters = nullptr;
 };
--- a/services/control/record_service.h
+++ b/services/control/record_service.h
@@ -11,7 +11,7 @@
 #include "consensus/replica_runtime.h"
 #include "net/message_server.h"
 #include "records/messages.h"
-#include "services/control/peer_channels.h"
+#include "net/peer_channels.h"
 #include "services/control/replicated_records.h"
 
 namespace wigeonstair::control {
@@ -21,7 +21,7 @@
   consensus::ReplicaRuntime* replica = nullptr;
   const ReplicatedRecords* records = nullptr;
   // Outlives the service.
-  PeerChannels* channels = nullptr;
+  net::PeerChannels* channels = nullptr;
   // Message addresses of the hosts with a replica, nearest first. Used when
   // this host has none.
   std::vector<std::string> replica_hosts;
--- a/services/control/replica_group.h
+++ b/services/control/replica_group.h
@@ -12,7 +12,7 @@
 #include "base/event_log.h"
 #include "base/result.h"
 #include "consensus/replica_runtime.h"
-#include "services/control/peer_channels.h"
+#include "net/peer_channels.h"
 #include "settings/process_settings.h"
 
 namespace wigeonstair::control {
@@ -40,7 +40,7 @@
   // As in consensus::ReplicaRuntimeOptions.
   std::function<std::optional<base::Error>(std::string_view)> check_command;
   net::EventLoop* loop = nullptr;
-  PeerChannels* channels = nullptr;
+  net::PeerChannels* channels = nullptr;
   std::shared_ptr<base::EventLog> event_log;
   base::CounterRegistry* counters = nullptr;
 };
--- /dev/null
+++ b/services/scheduler/call_service.cc
@@ -0,0 +1,333 @@
+#include "services/scheduler/call_service.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "jobs/admission.h"
+
+namespace wigeonstair::scheduler {
+
+namespace {
+
+constexpr base::Duration kCommitTimeout = std::chrono::milliseconds(2500);
+constexpr base::Duration kBarrierTimeout = std::chrono::milliseconds(800);
+
+jobs::Reply Done() {
+  return {.status = jobs::ReplyStatus::kDone};
+}
+
+std::uint64_t WallMs() {
+  return static_cast<std::uint64_t>(base::WallClockNow().count());
+}
+
+}  // namespace
+
+CallService::CallService(CallServiceOptions options)
+    : options_(std::move(options)),
+      accept_time_(
+          options_.counters->histogram("wigeonstair_job_accept_seconds")) {}
+
+void CallService::Handle(const jobs::Call& call, ReplyCallback reply) {
+  if (!options_.placement->Leads()) {
+    reply({.status = jobs::ReplyStatus::kUnavailable});
+    return;
+  }
+  std::visit([&](const auto& chosen) { Execute(chosen, reply); }, call);
+}
+
+void CallService::Commit(jobs::Command command,
+                         const ReplyCallback& reply,
+                         std::function<jobs::Reply(jobs::CommandReply)> map) {
+  options_.replica->Propose(
+      jobs::EncodeCommand(command), kCommitTimeout,
+      [this, reply,
+       map = std::move(map)](const consensus::ProposeOutcome& outcome) {
+        options_.loop->Post([this, reply, map, outcome] {
+          if (const auto* result = std::get_if<std::string>(&outcome)) {
+            reply(map(ReplyOf(*result)));
+            options_.placement->ScheduleRound();
+            return;
+          }
+          const auto& error = std::get<base::Error>(outcome);
+          reply({.status = error.code == base::ErrorCode::kTimeout
+                               ? jobs::ReplyStatus::kUnknown
+                               : jobs::ReplyStatus::kUnavailable,
+                 .text = error.ToString()});
+        });
+      },
+      consensus::WithoutLeader::kRefuse);
+}
+
+void CallService::AfterBarrier(const ReplyCallback& reply,
+                               std::function<void()> read) {
+  options_.replica->ReadBarrier(
+      kBarrierTimeout, [this, reply, read = std::move(read)](
+                           const consensus::ReadOutcome& outcome) {
+        options_.loop->Post([reply, read, outcome] {
+          if (const auto* error = std::get_if<base::Error>(&outcome)) {
+            reply({.status = jobs::ReplyStatus::kUnavailable,
+                   .text = error->ToString()});
+            return;
+          }
+          read();
+        });
+      });
+}
+
+void CallService::Execute(const jobs::SubmitCall& call,
+                          const ReplyCallback& reply) {
+  const base::Instant begin = base::MonotonicClock::now();
+  AfterBarrier(reply, [this, call, reply, begin] {
+    std::optional<jobs::Reply> early;
+    jobs::JobRecord job;
+    options_.placement->With([&](jobs::Dispatcher& dispatcher,
+                                 const jobs::JobStore& store) {
+      const auto admitted = jobs::AdmitCall(store, call.target);
+      if (const auto* refusal = std::get_if<jobs::Reply>(&admitted)) {
+        early = *refusal;
+        return;
+      }
+      const auto& target = std::get<jobs::AdmittedCall>(admitted);
+      if (const auto fault = jobs::FaultOf(call.spec)) {
+        early = {.status = jobs::ReplyStatus::kInvalid, .text = *fault};
+        return;
+      }
+      if (target.job.empty()) {
+        early = {.status = jobs::ReplyStatus::kNoQueue,
+                 .text = "the path names no job"};
+        return;
+      }
+      if (const jobs::JobRecord* known = store.FindJob(target.job)) {
+        early = {.status = known->spec == call.spec
+                               ? jobs::ReplyStatus::kDone
+                               : jobs::ReplyStatus::kConflict};
+        return;
+      }
+      job = {.id = target.job,
+             .queue = target.queue->name,
+             .pool = target.queue->pool,
+             .customer = target.customer,
+             .policy = target.queue->policy,
+             .spec = call.spec,
+             .accepted_ms = WallMs()};
+      if (const auto retry_after =
+              dispatcher.RefusalOf(*target.queue, call.spec, target.customer,
+                                   options_.placement->Time())) {
+        const auto wait =
+            std::chrono::duration_cast<std::chrono::milliseconds>(*retry_after);
+        early = {.status = jobs::ReplyStatus::kRefused,
+                 .retry_after_ms = static_cast<std::uint32_t>(wait.count()),
+                 .text = "it would be done too late"};
+        options_.log->Info(base::EventNumber::kJobRefused,
+                           {{"request", target.job.value()},
+                            {"queue", target.queue->name},
+                            {"reason", early->text},
+                            {"waiting_tasks", dispatcher.waiting_tasks()},
+                            {"retry_after_ms", early->retry_after_ms}});
+      }
+    });
+    if (early) {
+      reply(*early);
+      return;
+    }
+    const std::string id = job.id.value();
+    const std::string queue = job.queue;
+    const std::string customer = job.customer.value();
+    Commit(
+        jobs::SubmitJob{.job = std::move(job)}, reply,
+        [this, begin, id, queue, customer](jobs::CommandReply result) {
+          accept_time_.Record(base::MonotonicClock::now() - begin);
+          options_.log->Info(
+              base::EventNumber::kJobAccepted,
+              {{"request", id}, {"queue", queue}, {"customer", customer}});
+          return jobs::Reply{.status = result == jobs::CommandReply::kConflict
+                                           ? jobs::ReplyStatus::kConflict
+                                           : jobs::ReplyStatus::kDone};
+        });
+  });
+}
+
+void CallService::Execute(const jobs::ReadCall& call,
+                          const ReplyCallback& reply) {
+  AfterBarrier(reply, [this, call, reply] {
+    const jobs::Reply answer =
+        options_.jobs->Read([&](const jobs::JobStore& store) -> jobs::Reply {
+          const auto admitted = jobs::AdmitCall(store, call.target);
+          if (const auto* refusal = std::get_if<jobs::Reply>(&admitted))
+            return *refusal;
+          const auto& target = std::get<jobs::AdmittedCall>(admitted);
+          if (target.job.empty()) {
+            return {.status = jobs::ReplyStatus::kDone,
+                    .pending = store.PendingJobs(target.queue->name)};
+          }
+          const jobs::JobRecord* job = jobs::VisibleJob(store, target);
+          if (job == nullptr)
+            return {.status = jobs::ReplyStatus::kNoJob};
+          return {.status = jobs::ReplyStatus::kDone, .state = job->state};
+        });
+    reply(answer);
+  });
+}
+
+void CallService::Execute(const jobs::CancelCall& call,
+                          const ReplyCallback& reply) {
+  AfterBarrier(reply, [this, call, reply] {
+    std::optional<jobs::Reply> early;
+    base::JobId id;
+    options_.jobs->Read([&](const jobs::JobStore& store) {
+      const auto admitted = jobs::AdmitCall(store, call.target);
+      if (const auto* refusal = std::get_if<jobs::Reply>(&admitted)) {
+        early = *refusal;
+        return;
+      }
+      const auto& target = std::get<jobs::AdmittedCall>(admitted);
+      const jobs::JobRecord* job = jobs::VisibleJob(store, target);
+      if (job == nullptr)
+        early = jobs::Reply{.status = jobs::ReplyStatus::kNoJob};
+      else if (job->ended())
+        early = Done();
+      id = target.job;
+    });
+    if (early) {
+      reply(*early);
+      return;
+    }
+    Commit(
+        jobs::CancelJob{.job = id, .now_ms = WallMs()}, reply,
+        [this, id](jobs::CommandReply result) {
+          options_.log->Info(base::EventNumber::kJobCancelled,
+                             {{"request", id.value()}});
+          return jobs::Reply{.status = result == jobs::CommandReply::kNotFound
+                                           ? jobs::ReplyStatus::kNoJob
+                                           : jobs::ReplyStatus::kDone};
+        });
+  });
+}
+
+void CallService::Execute(const jobs::ReportWorkerCall& call,
+                          const ReplyCallback& reply) {
+  const auto hear = [this, call] {
+    options_.placement->With(
+        [&](jobs::Dispatcher& dispatcher, const jobs::JobStore&) {
+          dispatcher.HearWorker(call.worker, call.clock_ms,
+                                options_.placement->Time());
+        });
+  };
+  const bool record = options_.placement->With(
+      [&](jobs::Dispatcher& dispatcher, const jobs::JobStore&) {
+        return dispatcher.NeedsRecord(call.worker);
+      });
+  if (!record) {
+    hear();
+    reply(Done());
+    return;
+  }
+  Commit(jobs::RecordWorker{.worker = call.worker}, reply,
+         [this, call, hear](jobs::CommandReply) {
+           hear();
+           options_.log->Info(
+               base::EventNumber::kWorkerReported,
+               {{"worker", call.worker.life.id.value()},
+                {"born", call.worker.life.born},
+                {"sequence", call.worker.sequence},
+                {"address", call.worker.address},
+                {"domain", call.worker.domain.value()},
+                {"state", call.worker.phase == jobs::WorkerPhase::kDraining
+                              ? "draining"
+                              : "ready"}});
+           return Done();
+         });
+}
+
+void CallService::Execute(const jobs::WorkerLeftCall& call,
+                          const ReplyCallback& reply) {
+  std::optional<jobs::WorkerLife> life;
+  options_.jobs->Read([&](const jobs::JobStore& store) {
+    const auto known = store.workers().find(call.worker);
+    if (known != store.workers().end() &&
+        (!call.born || *call.born == known->second.life.born)) {
+      life = known->second.life;
+    }
+  });
+  if (!life) {
+    reply(Done());
+    return;
+  }
+  Commit(jobs::RemoveWorker{.life = *life}, reply,
+         [this, life = *life](jobs::CommandReply) {
+           options_.log->Info(base::EventNumber::kWorkerReported,
+                              {{"worker", life.id.value()},
+                               {"born", life.born},
+                               {"state", "left"}});
+           return Done();
+         });
+}
+
+void CallService::Execute(const jobs::PutConfigurationCall& call,
+                          const ReplyCallback& reply) {
+  const std::uint64_t version = call.change.configuration.version;
+  Commit(call.change, reply, [this, version](jobs::CommandReply result) {
+    options_.log->Info(
+        base::EventNumber::kConfigurationPut,
+        {{"version", version},
+         {"outcome",
+          result == jobs::CommandReply::kApplied ? "in_force" : "not_newer"}});
+    return Done();
+  });
+}
+
+void CallService::Execute(const jobs::ReadConfigurationCall& /*call*/,
+                          const ReplyCallback& reply) {
+  AfterBarrier(reply, [this, reply] {
+    const std::string document = options_.jobs->Read(
+        [](const jobs::JobStore& store) { return store.document(); });
+    if (document.empty())
+      reply({.status = jobs::ReplyStatus::kNotConfigured});
+    else
+      reply({.status = jobs::ReplyStatus::kDone, .text = document});
+  });
+}
+
+void CallService::Execute(const jobs::SetDomainServiceCall& call,
+                          const ReplyCallback& reply) {
+  Commit(call.change, reply,
+         [this, change = call.change](jobs::CommandReply result) {
+           options_.log->Info(
+               base::EventNumber::kDomainServiceSet,
+               {{"domain", change.domain.value()},
+                {"in_service", change.in_service ? "true" : "false"},
+                {"outcome", result == jobs::CommandReply::kApplied
+                                ? "changed"
+                                : "no_change"}});
+           return Done();
+         });
+}
+
+void CallService::Execute(const jobs::JoinCall& call,
+                          const ReplyCallback& reply) {
+  for (const consensus::Member& member : options_.replica->status().members) {
+    if (member.host == call.host) {
+      reply(Done());
+      return;
+    }
+  }
+  options_.replica->ChangeMembers(
+      {.kind = consensus::MemberChangeKind::kAddLearner,
+       .host = call.host,
+       .address = call.address},
+      kCommitTimeout, [reply](const consensus::ChangeOutcome& outcome) {
+        const auto* error = std::get_if<base::Error>(&outcome);
+        reply(error == nullptr
+                  ? Done()
+                  : jobs::Reply{.status = jobs::ReplyStatus::kUnavailable,
+                                .text = error->ToString()});
+      });
+}
+
+void CallService::Execute(const jobs::PingCall& /*call*/,
+                          const ReplyCallback& reply) {
+  AfterBarrier(reply, [reply] { reply(Done()); });
+}
+
+}  // namespace wigeonstair::scheduler
--- /dev/null
+++ b/services/scheduler/call_service.h
@@ -0,0 +1,67 @@
+#ifndef WIGEONSTAIR_SERVICES_SCHEDULER_CALL_SERVICE_H_
+#define WIGEONSTAIR_SERVICES_SCHEDULER_CALL_SERVICE_H_
+
+#include <functional>
+#include <memory>
+#include <variant>
+
+#include "base/counter_registry.h"
+#include "base/event_log.h"
+#include "consensus/replica_runtime.h"
+#include "jobs/api.h"
+#include "net/event_loop.h"
+#include "services/scheduler/placement_loop.h"
+#include "services/scheduler/replicated_jobs.h"
+
+namespace wigeonstair::scheduler {
+
+using ReplyCallback = std::function<void(jobs::Reply)>;
+
+struct CallServiceOptions {
+  // All outlive the service.
+  net::EventLoop* loop = nullptr;
+  ReplicatedJobs* jobs = nullptr;
+  PlacementLoop* placement = nullptr;
+  consensus::ReplicaRuntime* replica = nullptr;
+  base::CounterRegistry* counters = nullptr;
+  std::shared_ptr<base::EventLog> log;
+};
+
+// Carries out calls on the scheduler that leads. Runs on the thread of the
+// loop; replies come there as well.
+class CallService {
+ public:
+  explicit CallService(CallServiceOptions options);
+
+  // Replies with kUnavailable when this scheduler cannot be sure that it leads.
+  void Handle(const jobs::Call& call, ReplyCallback reply);
+
+ private:
+  void Execute(const jobs::SubmitCall& call, const ReplyCallback& reply);
+  void Execute(const jobs::ReadCall& call, const ReplyCallback& reply);
+  void Execute(const jobs::CancelCall& call, const ReplyCallback& reply);
+  void Execute(const jobs::ReportWorkerCall& call, const ReplyCallback& reply);
+  void Execute(const jobs::WorkerLeftCall& call, const ReplyCallback& reply);
+  void Execute(const jobs::PutConfigurationCall& call,
+               const ReplyCallback& reply);
+  void Execute(const jobs::ReadConfigurationCall& call,
+               const ReplyCallback& reply);
+  void Execute(const jobs::SetDomainServiceCall& call,
+               const ReplyCallback& reply);
+  void Execute(const jobs::JoinCall& call, const ReplyCallback& reply);
+  void Execute(const jobs::PingCall& call, const ReplyCallback& reply);
+
+  // Commits a command and maps its result.
+  void Commit(jobs::Command command,
+              const ReplyCallback& reply,
+              std::function<jobs::Reply(jobs::CommandReply)> map);
+  // Runs `read` once everything that was acknowledged before is applied.
+  void AfterBarrier(const ReplyCallback& reply, std::function<void()> read);
+
+  const CallServiceOptions options_;
+  base::LatencyHistogram& accept_time_;
+};
+
+}  // namespace wigeonstair::scheduler
+
+#endif  // WIGEONSTAIR_SERVICES_SCHEDULER_CALL_SERVICE_H_
--- /dev/null
+++ b/services/scheduler/replicated_jobs.cc
@@ -0,0 +1,41 @@
+#include "services/scheduler/replicated_jobs.h"
+
+namespace wigeonstair::scheduler {
+
+ReplicatedJobs::ReplicatedJobs(std::function<void()> on_applied)
+    : on_applied_(std::move(on_applied)) {}
+
+std::string ReplicatedJobs::Apply(std::uint64_t /*index*/,
+                                  std::string_view command) {
+  const auto decoded =
+      base::Capture([&] { return jobs::DecodeCommand(command); });
+  // Every host sees the same bytes, so all of them skip it alike.
+  const auto* known = std::get_if<jobs::Command>(&decoded);
+  if (known == nullptr)
+    return std::string(1, static_cast<char>(jobs::CommandReply::kConflict));
+  jobs::CommandReply reply = jobs::CommandReply::kNoChange;
+  {
+    const std::lock_guard lock(mutex_);
+    reply = store_.Apply(*known);
+  }
+  on_applied_();
+  return std::string(1, static_cast<char>(reply));
+}
+
+std::string ReplicatedJobs::Snapshot() const {
+  const std::lock_guard lock(mutex_);
+  return store_.Snapshot();
+}
+
+base::Result<std::monostate> ReplicatedJobs::Restore(
+    std::string_view snapshot) {
+  const std::lock_guard lock(mutex_);
+  return store_.Restore(snapshot);
+}
+
+jobs::CommandReply ReplyOf(const std::string& result) {
+  return result.size() == 1 ? static_cast<jobs::CommandReply>(result[0])
+                            : jobs::CommandReply::kConflict;
+}
+
+}  // namespace wigeonstair::scheduler
--- /dev/null
+++ b/services/scheduler/scheduler_process.cc
@@ -0,0 +1,248 @@
+#include "services/scheduler/scheduler_process.h"
+
+#include <algorithm>
+#include <future>
+#include <utility>
+
+#include "consensus/replica_runtime.h"
+#include "jobs/leader_client.h"
+#include "net/event_loop.h"
+#include "net/message_server.h"
+#include "net/peer_channels.h"
+#include "services/scheduler/call_service.h"
+#include "services/scheduler/member_controller.h"
+#include "services/scheduler/placement_loop.h"
+#include "services/scheduler/replicated_jobs.h"
+
+namespace wigeonstair::scheduler {
+
+namespace {
+
+constexpr char kGroup[] = "jobs";
+
+consensus::MemberList InitialMembers(const SchedulerOptions& options,
+                                     const std::string& self) {
+  consensus::MemberList members;
+  for (const std::string& seed : options.seeds) {
+    // A host whose folder is empty although the group exists has lost it. It
+    // must not vote in a formation again.
+    if (options.start == GroupStart::kExisting && seed == self)
+      continue;
+    members.push_back({.host = base::HostId(seed), .address = seed});
+  }
+  return members;
+}
+
+}  // namespace
+
+// The order of the members is the order of their construction.
+struct SchedulerProcess::Implementation {
+  explicit Implementation(SchedulerOptions scheduler_options)
+      : options(std::move(scheduler_options)),
+        self(options.messages.ToString()),
+        channels(loop, options.cluster),
+        jobs([this] {
+          if (placement)
+            placement->ScheduleRound();
+        }),
+        leader({.loop = &loop,
+                .channels = &channels,
+                .seeds = options.seeds,
+                .self = self}) {}
+
+  base::Result<std::monostate> Open();
+  base::Result<std::monostate> OpenReplica();
+  void HandleMessage(net::MessageType type,
+                     std::string body,
+                     net::MessageReply reply);
+  void HandleCall(const std::string& body, net::MessageReply reply);
+  void CallHere(const jobs::Call& call,
+                base::Instant deadline,
+                std::function<void(jobs::Reply)> done);
+  jobs::Envelope Hint() const;
+
+  const SchedulerOptions options;
+  const std::string self;
+  net::EventLoop loop;
+  net::PeerChannels channels;
+  ReplicatedJobs jobs;
+  jobs::LeaderClient leader;
+  std::unique_ptr<PlacementLoop> placement;
+  std::unique_ptr<consensus::ReplicaRuntime> replica;
+  std::unique_ptr<CallService> calls;
+  std::unique_ptr<MemberController> members;
+  std::unique_ptr<net::MessageServer> server;
+};
+
+base::Result<std::monostate> SchedulerProcess::Implementation::OpenReplica() {
+  consensus::ReplicaRuntimeOptions runtime{
+      .group = kGroup,
+      .host = base::HostId(self),
+      .initial_members = InitialMembers(options, self),
+      .data_folder = options.data_folder + "/" + kGroup,
+      .state_machine = &jobs,
+      .loop = &loop,
+      .channel =
+          [this](const consensus::Member& member) {
+            return channels.Open(member.address);
+          },
+      // Hosts are named by their address.
+      .address_of = [](const base::HostId& host) { return host.value(); },
+      .event_log = options.log,
+      .counters = options.counters,
+      .on_change =
+          [this](const consensus::ReplicaStatus&) {
+            if (placement)
+              placement->ScheduleRound();
+          }};
+  replica = TRY(consensus::ReplicaRuntime::create(std::move(runtime)));
+  return std::monostate{};
+}
+
+base::Result<std::monostate> SchedulerProcess::Implementation::Open() {
+  placement = std::make_unique<PlacementLoop>(
+      PlacementLoopOptions{.loop = &loop,
+                           .jobs = &jobs,
+                           .workers = options.workers,
+                           .counters = options.counters,
+                           .log = options.log,
+                           .dispatcher = options.dispatcher});
+  TRY(OpenReplica());
+  calls = std::make_unique<CallService>(
+      CallServiceOptions{.loop = &loop,
+                         .jobs = &jobs,
+                         .placement = placement.get(),
+                         .replica = replica.get(),
+                         .counters = options.counters,
+                         .log = options.log});
+  members = std::make_unique<MemberController>(
+      MemberControllerOptions{.loop = &loop,
+                              .channels = &channels,
+                              .leader = &leader,
+                              .replica = replica.get(),
+                              .self = base::HostId(self),
+                              .address = self});
+  server = TRY(net::MessageServer::create(
+      loop, {.address = options.messages,
+             .cluster = options.cluster,
+             .handler = [this](net::MessageType type, std::string body,
+                               net::MessageReply reply) {
+               HandleMessage(type, std::move(body), std::move(reply));
+             }}));
+  loop.Post([this] {
+    placement->Start(*replica);
+    members->Start();
+  });
+  return std::monostate{};
+}
+
+void SchedulerProcess::Implementation::HandleMessage(net::MessageType type,
+                                                     std::string body,
+                                                     net::MessageReply reply) {
+  if (type == jobs::kCallMessage)
+    HandleCall(body, std::move(reply));
+  else
+    replica->HandleMessage(type, std::move(body), std::move(reply));
+}
+
+jobs::Envelope SchedulerProcess::Implementation::Hint() const {
+  const consensus::ReplicaStatus status = replica->status();
+  jobs::Envelope envelope{.leader = status.leader.value()};
+  for (const consensus::Member& member : status.members)
+    envelope.members.push_back(member.address);
+  return envelope;
+}
+
+void SchedulerProcess::Implementation::HandleCall(const std::string& body,
+                                                  net::MessageReply reply) {
+  const auto decoded = base::Capture([&] { return jobs::DecodeCall(body); });
+  const auto* call = std::get_if<jobs::Call>(&decoded);
+  if (call == nullptr) {
+    reply(jobs::EncodeEnvelope(
+        {.reply = jobs::Reply{.status = jobs::ReplyStatus::kInvalid,
+                              .text = "the call cannot be decoded"}}));
+    return;
+  }
+  if (!placement->Leads()) {
+    reply(jobs::EncodeEnvelope(Hint()));
+    return;
+  }
+  calls->Handle(*call, [this, reply = std::move(reply)](jobs::Reply answer) {
+    jobs::Envelope envelope = Hint();
+    envelope.reply = std::move(answer);
+    reply(jobs::EncodeEnvelope(envelope));
+  });
+}
+
+// A call of an interface of this process: carried out here while this host
+// leads, and passed on otherwise.
+void SchedulerProcess::Implementation::CallHere(
+    const jobs::Call& call,
+    base::Instant deadline,
+    std::function<void(jobs::Reply)> done) {
+  if (!placement->Leads()) {
+    leader.Send(call, deadline, [done](const jobs::CallResultOfLeader& result) {
+      done(result.reply);
+    });
+    return;
+  }
+  calls->Handle(call, [this, call, deadline, done](const jobs::Reply& reply) {
+    const bool settled = reply.status != jobs::ReplyStatus::kUnavailable &&
+                         reply.status != jobs::ReplyStatus::kUnknown;
+    if (settled || base::MonotonicClock::now() >= deadline) {
+      done(reply);
+      return;
+    }
+    constexpr base::Duration kRetryDelay = std::chrono::milliseconds(60);
+    loop.Schedule(kRetryDelay, [this, call, deadline, done] {
+      CallHere(call, deadline, done);
+    });
+  });
+}
+
+base::Result<std::unique_ptr<SchedulerProcess>> SchedulerProcess::create(
+    SchedulerOptions options) {
+  auto implementation = std::make_unique<Implementation>(std::move(options));
+  TRY(implementation->Open());
+  return std::unique_ptr<SchedulerProcess>(
+      new SchedulerProcess(std::move(implementation)));
+}
+
+SchedulerProcess::SchedulerProcess(
+    std::unique_ptr<Implementation> implementation)
+    : implementation_(std::move(implementation)) {}
+
+SchedulerProcess::~SchedulerProcess() {
+  implementation_->server.reset();
+  implementation_->replica->Stop();
+  implementation_->channels.Close();
+  implementation_->loop.Stop();
+}
+
+void SchedulerProcess::Call(const jobs::Call& call,
+                            base::Duration timeout,
+                            std::function<void(jobs::Reply)> done) {
+  const base::Instant deadline = base::MonotonicClock::now() + timeout;
+  implementation_->loop.Post(
+      [raw = implementation_.get(), call, deadline, done = std::move(done)] {
+        raw->CallHere(call, deadline, done);
+      });
+}
+
+std::string SchedulerProcess::leader() const {
+  return implementation_->replica->status().leader.value();
+}
+
+void SchedulerProcess::AddSeeds(const std::vector<std::string>& seeds) {
+  implementation_->leader.AddSeeds(seeds);
+}
+
+void SchedulerProcess::Drain(base::Duration timeout) {
+  auto done = std::make_shared<std::promise<void>>();
+  auto waiting = done->get_future();
+  implementation_->replica->TransferLeadership(timeout,
+                                               [done] { done->set_value(); });
+  waiting.wait_for(timeout);
+}
+
+}  // namespace wigeonstair::scheduler
--- /dev/null
+++ b/services/scheduler/worker_port.h
@@ -0,0 +1,26 @@
+#ifndef WIGEONSTAIR_SERVICES_SCHEDULER_WORKER_PORT_H_
+#define WIGEONSTAIR_SERVICES_SCHEDULER_WORKER_PORT_H_
+
+#include <functional>
+
+#include "jobs/actions.h"
+
+namespace wigeonstair::scheduler {
+
+// Calls to workers. `done` runs once, on any thread; calls that a worker does
+// not answer end by a timeout of the port.
+class WorkerPort {
+ public:
+  virtual ~WorkerPort() = default;
+
+  virtual void Start(const jobs::StartAction& call,
+                     std::function<void(jobs::CallAnswer)> done) = 0;
+  virtual void Stop(const jobs::StopAction& call,
+                    std::function<void(jobs::CallAnswer)> done) = 0;
+  virtual void Hold(const jobs::HoldAction& call,
+                    std::function<void(jobs::HoldAnswer)> done) = 0;
+};
+
+}  // namespace wigeonstair::scheduler
+
+#endif  // WIGEONSTAIR_SERVICES_SCHEDULER_WORKER_PORT_H_
