Keep racks for gangs that wait and room for urgent jobs

Change: a blocked gang reserves the rack that is free soonest, shorter work may still use it; free workers are kept by the recent peak of urgent demand.

--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -240,6 +240,17 @@
   // dispatcher_placement.cc
   void PlaceRound(const Now& now);
   std::vector<WorkerRoom> Rooms(const Now& now) const;
+  // What holds room, with positions of `rooms`.
+  std::vector<Occupant> Occupants(const std::vector<WorkerRoom>& rooms,
+                                  const Now& now) const;
+  double RemainingMs(const RunKey& key, const Run& run, const Now& now) const;
+  // Accelerators to keep free for urgent work that is expected.
+  std::uint64_t UrgentReserve(const std::vector<ReadyStep>& ready,
+                              const Now& now);
+  void Reserve(const ReadyStep& ready,
+               std::vector<WorkerRoom>& rooms,
+               const Now& now) const;
+  PlanRequest RequestOf(const ReadyStep& ready) const;
   std::vector<ReadyStep> ReadySteps(const Now& now) const;
   std::vector<std::uint32_t> UsedRooms(const std::vector<WorkerRoom>& rooms,
                                        const StepRef& step) const;
@@ -272,6 +283,9 @@
   std::uint64_t last_proposal_ = 0;
   RunTimes run_times_;
   std::size_t waiting_tasks_ = 0;
+  // The highest recent demand of urgent jobs, in accelerators.
+  double urgent_peak_ = 0;
+  base::Instant urgent_peak_at_{};
   std::vector<Action> actions_;
   std::vector<Decision> decisions_;
 };
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -15,6 +15,13 @@
 // A job earns less after its objective and nothing after this multiple of it.
 constexpr double kWorthlessAfter = 3;
 
+// How fast the reserve for urgent work shrinks after a burst.
+constexpr double kReserveHalfLifeMs = 6000;
+// At most this share of all accelerators is kept free for urgent work.
+constexpr double kLargestReserve = 0.25;
+// Racks that may be held for gangs that wait, at most.
+constexpr int kMaximumReservations = 3;
+
 enum class Urgency { kInTime, kLate, kWorthless };
 
 }  // namespace
@@ -186,10 +193,21 @@
       [&](const ReadyStep& a, const ReadyStep& b) { return key(a) < key(b); });
   std::vector<WorkerRoom> rooms = Rooms(now);
   std::vector<Placement> placements;
+  const std::uint64_t reserve = UrgentReserve(ready, now);
+  bool kept = false;
+  int reservations = 0;
   for (const ReadyStep& entry : ready) {
-    if (!PlaceStep(entry, rooms, placements, now) &&
-        entry.job->policy.priority == 0) {
-      Preempt(entry, rooms, now);
+    const bool urgent = entry.job->policy.priority == 0;
+    if (!urgent && !std::exchange(kept, true))
+      KeepForUrgent(rooms, reserve);
+    if (PlaceStep(entry, rooms, placements, now))
+      continue;
+    if (urgent && Preempt(entry, rooms, now))
+      continue;
+    if (entry.spec->gang && urgency(entry) != Urgency::kWorthless &&
+        reservations < kMaximumReservations) {
+      ++reservations;
+      Reserve(entry, rooms, now);
     }
   }
   if (placements.empty())
@@ -202,14 +220,94 @@
       std::move(keys));
 }
 
+PlanRequest Dispatcher::RequestOf(const ReadyStep& ready) const {
+  return {.step = ready.spec,
+          .pool = ready.job->pool,
+          .count = static_cast<std::uint32_t>(ready.waiting.size()),
+          .work_ms = ready.work_ms,
+          .urgent = ready.job->policy.priority == 0};
+}
+
+double Dispatcher::RemainingMs(const RunKey& key,
+                               const Run& run,
+                               const Now& now) const {
+  constexpr double kSoonMs = 200;
+  if (run.phase == RunPhase::kStopping || run.phase == RunPhase::kEnding)
+    return kSoonMs;
+  const JobRecord* job = store_.FindJob(key.task.job);
+  if (job == nullptr)
+    return kSoonMs;
+  const double whole =
+      WorkOf(*job, key.task.step) * (run.remote ? options_.remote_factor : 1);
+  const std::chrono::duration<double, std::milli> ran =
+      now.instant - run.running_since.value_or(now.instant);
+  return std::max(kSoonMs, whole - ran.count());
+}
+
+std::vector<Occupant> Dispatcher::Occupants(
+    const std::vector<WorkerRoom>& rooms,
+    const Now& now) const {
+  std::map<WorkerLife, std::size_t> position;
+  for (std::size_t i = 0; i < rooms.size(); ++i)
+    position[rooms[i].life] = i;
+  std::vector<Occupant> occupants;
+  for (const auto& [key, run] : runs_) {
+    const auto room = position.find(run.worker);
+    if (room == position.end())
+      continue;
+    occupants.push_back({.room = room->second,
+                         .resources = run.resources,
+                         .remaining_ms = RemainingMs(key, run, now)});
+  }
+  return occupants;
+}
+
+// Follows the demand of urgent jobs up at once and down slowly.
+std::uint64_t Dispatcher::UrgentReserve(const std::vector<ReadyStep>& ready,
+                                        const Now& now) {
+  std::uint64_t held = 0;
+  for (const auto& [key, run] : runs_) {
+    if (run.priority == 0)
+      held += run.resources.accelerators;
+  }
+  double demand = static_cast<double>(held);
+  for (const ReadyStep& entry : ready) {
+    if (entry.job->policy.priority == 0) {
+      demand += static_cast<double>(entry.waiting.size() *
+                                    entry.spec->task.accelerators);
+    }
+  }
+  const std::chrono::duration<double, std::milli> passed =
+      now.instant - urgent_peak_at_;
+  urgent_peak_ = std::max(
+      demand, urgent_peak_ * std::exp2(-passed.count() / kReserveHalfLifeMs));
+  urgent_peak_at_ = now.instant;
+  std::uint64_t capacity = 0;
+  for (const auto& [id, worker] : workers_)
+    capacity += worker.description.capacity.accelerators;
+  const double reserve = std::min(
+      urgent_peak_ - demand, kLargestReserve * static_cast<double>(capacity));
+  return static_cast<std::uint64_t>(std::max(reserve, 0.0));
+}
+
+// Holds a rack for a gang that has no place, so that shorter or less urgent
+// tasks do not keep it busy for ever; what ends before may still use it.
+void Dispatcher::Reserve(const ReadyStep& ready,
+                         std::vector<WorkerRoom>& rooms,
+                         const Now& now) const {
+  const auto reservation =
+      ReserveRack(rooms, Occupants(rooms, now), RequestOf(ready));
+  if (!reservation)
+    return;
+  for (const std::size_t room : reservation->rooms)
+    rooms[room].usable_ms = reservation->wait_ms;
+}
+
 bool Dispatcher::PlaceStep(const ReadyStep& ready,
                            std::vector<WorkerRoom>& rooms,
                            std::vector<Placement>& placements,
                            const Now& now) {
-  const PlanRequest request{
-      .step = ready.spec,
-      .pool = ready.job->pool,
-      .count = static_cast<std::uint32_t>(ready.waiting.size())};
+  const PlanRequest request = RequestOf(ready);
   const std::vector<std::uint32_t> used = UsedRooms(rooms, ready.step);
   const RackRule rule = RuleFor(ready, rooms, now);
   if (ready.spec->gang) {
@@ -317,10 +415,7 @@
             [](const Victim& a, const Victim& b) {
               return std::tie(a.lost, a.step) < std::tie(b.lost, b.step);
             });
-  const PlanRequest request{
-      .step = ready.spec,
-      .pool = ready.job->pool,
-      .count = static_cast<std::uint32_t>(ready.waiting.size())};
+  const PlanRequest request = RequestOf(ready);
   const std::vector<std::uint32_t> used = UsedRooms(rooms, ready.step);
   std::vector<WorkerRoom> freed = rooms;
   std::map<WorkerLife, std::size_t> position;
--- a/libraries/jobs/planner.cc
+++ b/libraries/jobs/planner.cc
@@ -1,6 +1,7 @@
 #include "jobs/planner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <map>
 #include <tuple>
@@ -24,7 +25,9 @@
                                     const PlanRequest& request) {
   std::vector<std::size_t> found;
   for (std::size_t i = 0; i < rooms.size(); ++i) {
-    if (Accepts(rooms[i], request) &&
+    const bool open = (request.urgent || !rooms[i].urgent_only) &&
+                      request.work_ms <= rooms[i].usable_ms;
+    if (open && Accepts(rooms[i], request) &&
         Fitting(rooms[i].free, *request.step, used[i]) > 0) {
       found.push_back(i);
     }
@@ -119,6 +122,70 @@
 
 }  // namespace
 
+std::optional<Reservation> ReserveRack(const std::vector<WorkerRoom>& rooms,
+                                       std::vector<Occupant> occupants,
+                                       const PlanRequest& request) {
+  std::sort(occupants.begin(), occupants.end(),
+            [](const Occupant& a, const Occupant& b) {
+              return a.remaining_ms < b.remaining_ms;
+            });
+  std::map<base::RackId, std::vector<std::size_t>> racks;
+  for (std::size_t i = 0; i < rooms.size(); ++i) {
+    const bool free_to_reserve = std::isinf(rooms[i].usable_ms) &&
+                                 (request.urgent || !rooms[i].urgent_only);
+    if (free_to_reserve && Accepts(rooms[i], request))
+      racks[rooms[i].rack].push_back(i);
+  }
+  std::optional<Reservation> best;
+  for (const auto& [id, members] : racks) {
+    std::map<std::size_t, Resources> space;
+    std::uint64_t fits = 0;
+    for (const std::size_t i : members) {
+      space[i] = rooms[i].free;
+      fits += Fitting(rooms[i].free, *request.step, 0);
+    }
+    double wait_ms = 0;
+    for (const Occupant& occupant : occupants) {
+      if (fits >= request.count)
+        break;
+      const auto room = space.find(occupant.room);
+      if (room == space.end())
+        continue;
+      fits -= Fitting(room->second, *request.step, 0);
+      room->second += occupant.resources;
+      fits += Fitting(room->second, *request.step, 0);
+      wait_ms = occupant.remaining_ms;
+    }
+    if (fits >= request.count && (!best || wait_ms < best->wait_ms))
+      best = Reservation{.rooms = members, .wait_ms = wait_ms};
+  }
+  return best;
+}
+
+void KeepForUrgent(std::vector<WorkerRoom>& rooms, std::uint64_t accelerators) {
+  std::map<base::RackId, std::uint64_t> free_in_rack;
+  for (const WorkerRoom& room : rooms)
+    free_in_rack[room.rack] += room.free.accelerators;
+  std::vector<std::size_t> order(rooms.size());
+  for (std::size_t i = 0; i < order.size(); ++i)
+    order[i] = i;
+  const auto key = [&](std::size_t i) {
+    return std::tuple(free_in_rack[rooms[i].rack], rooms[i].rack,
+                      rooms[i].free.accelerators, i);
+  };
+  std::sort(order.begin(), order.end(),
+            [&](std::size_t a, std::size_t b) { return key(a) > key(b); });
+  std::uint64_t kept = 0;
+  for (const std::size_t i : order) {
+    if (kept >= accelerators)
+      return;
+    if (rooms[i].penalty > 0 || rooms[i].free.accelerators == 0)
+      continue;
+    rooms[i].urgent_only = true;
+    kept += rooms[i].free.accelerators;
+  }
+}
+
 bool Accepts(const WorkerRoom& room, const PlanRequest& request) {
   const StepSpec& step = *request.step;
   return room.pool == request.pool && room.capacity.Fits(Counted(step)) &&
--- a/libraries/jobs/planner.h
+++ b/libraries/jobs/planner.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,6 +22,10 @@
   Resources free;
   // Lower is better; workers that fail or are slow come last.
   int penalty = 0;
+  // Kept for urgent work that is expected.
+  bool urgent_only = false;
+  // A gang that waits gets the room after this time.
+  double usable_ms = std::numeric_limits<double>::infinity();
 
   bool operator==(const WorkerRoom&) const = default;
 };
@@ -29,8 +34,10 @@
 struct PlanRequest {
   const StepSpec* step = nullptr;
   std::string pool;
-  // Positions into `placed_on` are those of the rooms.
   std::uint32_t count = 0;
+  // Expected time of each task.
+  double work_ms = 0;
+  bool urgent = false;
 };
 
 // Where the tasks go.
@@ -61,6 +68,32 @@
               const PlanRequest& request,
               RackRule rule);
 
+// A run that holds room now.
+struct Occupant {
+  std::size_t room = 0;
+  Resources resources;
+  // Expected time until it ends.
+  double remaining_ms = 0;
+};
+
+// Rooms that a gang without a place should wait for, and how long.
+struct Reservation {
+  std::vector<std::size_t> rooms;
+  double wait_ms = 0;
+};
+
+// Finds the rack that can hold the whole gang soonest, by the expected ends of
+// what runs there; empty when no rack ever can. Load pattern: many small tasks
+// that fill each gap as it opens and so starve gangs of whole workers.
+std::optional<Reservation> ReserveRack(const std::vector<WorkerRoom>& rooms,
+                                       std::vector<Occupant> occupants,
+                                       const PlanRequest& request);
+
+// Marks rooms with `accelerators` free ones in all as kept for urgent work:
+// those with the most room, in as few racks as possible. Load pattern: bursts
+// of short urgent gangs, for which longer work had to be stopped.
+void KeepForUrgent(std::vector<WorkerRoom>& rooms, std::uint64_t accelerators);
+
 // Whether a room may ever hold a task of the step.
 bool Accepts(const WorkerRoom& room, const PlanRequest& request);
 
