Send calls only to a leader that answered a moment ago

Cause: gateways in a domain that was cut off held calls for 2.85 of the 3 s that callers have, and had sent them into the cut, so that they could not be refused either. Change: LeaderClient probes for the leader and sends a call only when it answered within 700 ms; a call that was sent nowhere is refused after 500 ms. Ruled out: a longer wait, which leaves callers no time to come back.

--- a/libraries/jobs/leader_client.cc
+++ b/libraries/jobs/leader_client.cc
@@ -42,97 +42,162 @@
   return leader_;
 }
 
+std::optional<std::string> LeaderClient::TrustedLeader() const {
+  const std::lock_guard lock(mutex_);
+  if (leader_.empty() || !last_answer_ ||
+      base::MonotonicClock::now() - *last_answer_ > options_.trust) {
+    return std::nullopt;
+  }
+  return leader_;
+}
+
 void LeaderClient::Send(const Call& call,
                         base::Instant deadline,
                         std::function<void(CallResultOfLeader)> done) {
   auto pending = std::make_shared<Pending>(Pending{
-      .body = EncodeCall(call), .deadline = deadline, .done = std::move(done)});
+      .body = EncodeCall(call),
+      .deadline = deadline,
+      .unsent_deadline =
+          std::min(deadline, base::MonotonicClock::now() + options_.patience),
+      .done = std::move(done)});
   options_.loop->Post([this, pending] { Try(pending); });
 }
 
-std::string LeaderClient::NextAddress(std::size_t tries) {
-  const std::lock_guard lock(mutex_);
-  if (tries == 0 && !leader_.empty())
-    return leader_;
-  // A new hint is worth following at once, an old one was just tried.
-  if (!leader_.empty() && tries % 2 == 0)
-    return leader_;
-  if (addresses_.empty())
-    return {};
-  return addresses_[next_++ % addresses_.size()];
+void LeaderClient::Probe() {
+  options_.loop->Post([this] { ProbeAll(); });
 }
 
-void LeaderClient::Try(const std::shared_ptr<Pending>& pending) {
+void LeaderClient::Try(const PendingPointer& pending) {
   const base::Instant now = base::MonotonicClock::now();
-  const std::string address = NextAddress(pending->tries++);
   if (now >= pending->deadline) {
-    pending->done(
-        {.reply = {.status = pending->reach == Reach::kNothingSent
-                                 ? ReplyStatus::kUnavailable
-                                 : ReplyStatus::kUnknown,
-                   .text = "no scheduler that leads answered in time"},
-         .reach = pending->reach});
+    GiveUp(pending);
+    return;
+  }
+  const auto leader = TrustedLeader();
+  const auto channel = leader ? options_.channels->Open(*leader) : nullptr;
+  if (!channel) {
+    Wait(pending);
     return;
   }
-  const auto channel =
-      address.empty() ? nullptr : options_.channels->Open(address);
-  if (!channel)
-    return TryLater(pending);
   const base::Duration timeout =
       std::min(options_.try_timeout, pending->deadline - now);
   channel->Call(kCallMessage, pending->body, timeout,
-                [this, pending, address](const net::CallOutcome& outcome) {
-                  Handle(pending, address, outcome);
+                [this, pending, leader](const net::CallOutcome& outcome) {
+                  Handle(pending, *leader, outcome);
                 });
 }
 
-void LeaderClient::Handle(const std::shared_ptr<Pending>& pending,
+void LeaderClient::Handle(const PendingPointer& pending,
                           const std::string& address,
                           const net::CallOutcome& outcome) {
   if (const auto* error = std::get_if<base::Error>(&outcome)) {
     if (error->code != base::ErrorCode::kUnavailable)
       pending->reach = Reach::kMaybeSent;
     Distrust(address);
-    return TryLater(pending);
+    return Wait(pending);
   }
   const auto decoded = base::Capture(
       [&] { return DecodeEnvelope(std::get<std::string>(outcome)); });
   const auto* envelope = std::get_if<Envelope>(&decoded);
   if (envelope == nullptr) {
     pending->reach = Reach::kMaybeSent;
-    return TryLater(pending);
+    Distrust(address);
+    return Wait(pending);
   }
   Learn(*envelope, address);
-  if (!envelope->reply)
-    return TryLater(pending);
-  if (envelope->reply->status == ReplyStatus::kUnavailable)
-    return TryLater(pending);
-  if (envelope->reply->status == ReplyStatus::kUnknown) {
+  if (envelope->reply && envelope->reply->status == ReplyStatus::kUnknown)
     pending->reach = Reach::kMaybeSent;
-    return TryLater(pending);
+  const bool settled = envelope->reply &&
+                       envelope->reply->status != ReplyStatus::kUnavailable &&
+                       envelope->reply->status != ReplyStatus::kUnknown;
+  if (settled)
+    pending->done({.reply = *envelope->reply});
+  else
+    Wait(pending);
+}
+
+void LeaderClient::Wait(const PendingPointer& pending) {
+  waiting_.push_back(pending);
+  if (!std::exchange(probing_, true))
+    ProbeWhileWaiting();
+}
+
+void LeaderClient::GiveUp(const PendingPointer& pending) {
+  const bool unsent = pending->reach == Reach::kNothingSent;
+  pending->done({.reply = {.status = unsent ? ReplyStatus::kUnavailable
+                                            : ReplyStatus::kUnknown,
+                           .text = "no scheduler that leads answered in time"},
+                 .reach = pending->reach});
+}
+
+void LeaderClient::ProbeWhileWaiting() {
+  const base::Instant now = base::MonotonicClock::now();
+  std::list<PendingPointer> ended;
+  for (auto pending = waiting_.begin(); pending != waiting_.end();) {
+    const base::Instant end = (*pending)->reach == Reach::kNothingSent
+                                  ? (*pending)->unsent_deadline
+                                  : (*pending)->deadline;
+    const auto next = std::next(pending);
+    if (now >= end)
+      ended.splice(ended.end(), waiting_, pending);
+    pending = next;
+  }
+  for (const PendingPointer& pending : ended)
+    GiveUp(pending);
+  if (waiting_.empty()) {
+    probing_ = false;
+    return;
   }
-  pending->done({.reply = *envelope->reply});
+  ProbeAll();
+  options_.loop->Schedule(options_.probe_interval,
+                          [this] { ProbeWhileWaiting(); });
 }
 
-void LeaderClient::TryLater(const std::shared_ptr<Pending>& pending) {
-  bool hinted = false;
-  {
+void LeaderClient::ProbeAll() {
+  std::vector<std::string> targets;
+  if (const auto leader = TrustedLeader()) {
+    targets.push_back(*leader);
+  } else {
     const std::lock_guard lock(mutex_);
-    hinted = !leader_.empty();
+    targets = addresses_;
+  }
+  for (const std::string& address : targets) {
+    const auto channel = options_.channels->Open(address);
+    if (!channel)
+      continue;
+    channel->Call(kCallMessage, EncodeCall(PingCall{}), options_.try_timeout,
+                  [this, address](const net::CallOutcome& outcome) {
+                    if (std::holds_alternative<base::Error>(outcome))
+                      return Distrust(address);
+                    const auto decoded = base::Capture([&] {
+                      return DecodeEnvelope(std::get<std::string>(outcome));
+                    });
+                    if (const auto* envelope = std::get_if<Envelope>(&decoded))
+                      Learn(*envelope, address);
+                    Flush();
+                  });
   }
-  const base::Duration delay =
-      hinted && pending->tries < 3 ? base::Duration(0) : options_.retry_delay;
-  options_.loop->Schedule(delay, [this, pending] { Try(pending); });
+}
+
+void LeaderClient::Flush() {
+  if (!TrustedLeader())
+    return;
+  for (const PendingPointer& pending : std::exchange(waiting_, {}))
+    Try(pending);
 }
 
 void LeaderClient::Learn(const Envelope& envelope, const std::string& from) {
   AddSeeds(envelope.members);
+  if (!envelope.leader.empty())
+    AddSeeds({envelope.leader});
+  const bool leads =
+      envelope.reply && envelope.reply->status != ReplyStatus::kUnavailable;
   const std::lock_guard lock(mutex_);
-  if (envelope.reply) {
+  if (leads) {
     leader_ = from;
     last_answer_ = base::MonotonicClock::now();
-  } else if (leader_ == from || !envelope.leader.empty()) {
-    leader_ = envelope.leader == options_.self ? "" : envelope.leader;
+  } else if (leader_ == from) {
+    leader_.clear();
   }
 }
 
--- a/libraries/jobs/leader_client.h
+++ b/libraries/jobs/leader_client.h
@@ -1,8 +1,8 @@
 #ifndef WIGEONSTAIR_LIBRARIES_JOBS_LEADER_CLIENT_H_
 #define WIGEONSTAIR_LIBRARIES_JOBS_LEADER_CLIENT_H_
 
-#include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -24,10 +24,17 @@
   std::vector<std::string> seeds;
   // The message address of this process, which is never called; may be empty.
   std::string self;
-  // For the answer of one scheduler.
+  // For the answer to one call.
   base::Duration try_timeout = std::chrono::milliseconds(900);
-  // Before the schedulers are asked once more.
-  base::Duration retry_delay = std::chrono::milliseconds(60);
+  // A leader that answered within this time is trusted with the next call. It
+  // spans two probes and is shorter than an election, so that few calls are
+  // sent into a cut, where their outcome stays unknown.
+  base::Duration trust = std::chrono::milliseconds(700);
+  // Between probes for a leader while calls wait for one.
+  base::Duration probe_interval = std::chrono::milliseconds(150);
+  // How long a call that was sent nowhere waits for a leader. Callers that are
+  // told soon can still come back before their deadline.
+  base::Duration patience = std::chrono::milliseconds(500);
 };
 
 // Whether a call without a final answer may have reached a scheduler.
@@ -39,8 +46,10 @@
   Reach reach = Reach::kNothingSent;
 };
 
-// Finds the scheduler that leads and repeats calls until one is answered or
-// the deadline has passed. Thread-safe; callbacks run on a loop thread.
+// Finds the scheduler that leads and passes calls to it. A call is sent only to
+// a leader that answered a moment ago; until one is found, probes are sent in
+// its place, so that a call that is given up can be refused truthfully.
+// Thread-safe; callbacks run on a loop thread.
 class LeaderClient {
  public:
   explicit LeaderClient(LeaderClientOptions options);
@@ -48,6 +57,8 @@
   void Send(const Call& call,
             base::Instant deadline,
             std::function<void(CallResultOfLeader)> done);
+  // Looks for the leader now, and keeps it trusted.
+  void Probe();
 
   // Adds addresses to ask, such as those of changed settings.
   void AddSeeds(const std::vector<std::string>& seeds);
@@ -59,18 +70,25 @@
   struct Pending {
     std::string body;
     base::Instant deadline;
+    // When it ends if nothing was sent until then.
+    base::Instant unsent_deadline;
     std::function<void(CallResultOfLeader)> done;
     Reach reach = Reach::kNothingSent;
-    std::size_t tries = 0;
   };
+  using PendingPointer = std::shared_ptr<Pending>;
 
-  void Try(const std::shared_ptr<Pending>& pending);
-  void Handle(const std::shared_ptr<Pending>& pending,
+  // All on the loop.
+  void Try(const PendingPointer& pending);
+  void Handle(const PendingPointer& pending,
               const std::string& address,
               const net::CallOutcome& outcome);
-  void TryLater(const std::shared_ptr<Pending>& pending);
-  // The leader first, then the others in turn.
-  std::string NextAddress(std::size_t tries);
+  void Wait(const PendingPointer& pending);
+  void ProbeAll();
+  void ProbeWhileWaiting();
+  void Flush();
+  static void GiveUp(const PendingPointer& pending);
+
+  std::optional<std::string> TrustedLeader() const;
   void Learn(const Envelope& envelope, const std::string& from);
   void Distrust(const std::string& address);
 
@@ -78,8 +96,10 @@
   mutable std::mutex mutex_;
   std::vector<std::string> addresses_;
   std::string leader_;
-  std::size_t next_ = 0;
   std::optional<base::Instant> last_answer_;
+  // Used on the loop only.
+  std::list<PendingPointer> waiting_;
+  bool probing_ = false;
 };
 
 }  // namespace wigeonstair::jobs
--- a/services/gateway/gateway_process.cc
+++ b/services/gateway/gateway_process.cc
@@ -6,11 +6,11 @@
 
 namespace {
 
-constexpr base::Duration kPingInterval = std::chrono::milliseconds(500);
-constexpr base::Duration kPingTimeout = std::chrono::milliseconds(1500);
-// An answer of the leader within this time makes the gateway ready. It spans
-// an election, which callers outlast.
-constexpr base::Duration kReadyFor = std::chrono::milliseconds(3000);
+// Two fit into the time for which LeaderClient trusts a leader.
+constexpr base::Duration kPingInterval = std::chrono::milliseconds(300);
+// An answer of the leader within this time makes the gateway ready. The
+// balancer needs two misses, so an election passes unnoticed.
+constexpr base::Duration kReadyFor = std::chrono::milliseconds(1200);
 
 }  // namespace
 
@@ -28,13 +28,9 @@
 
 void GatewayProcess::Ping() {
   NoteReach();
-  // Calls tell as much as pings do.
-  if (ping_in_flight_ || AnsweredWithin(kPingInterval))
-    return;
-  ping_in_flight_ = true;
-  leader_.Send(
-      jobs::PingCall{}, base::MonotonicClock::now() + kPingTimeout,
-      [this](const jobs::CallResultOfLeader&) { ping_in_flight_ = false; });
+  // Calls tell as much as probes do.
+  if (!AnsweredWithin(kPingInterval))
+    leader_.Probe();
 }
 
 void GatewayProcess::NoteReach() {
--- a/services/gateway/gateway_process.h
+++ b/services/gateway/gateway_process.h
@@ -53,7 +53,6 @@
   base::LatencyHistogram& call_time_;
   std::atomic<bool> draining_{false};
   bool reached_ = false;
-  bool ping_in_flight_ = false;
 };
 
 }  // namespace wigeonstair::gateway
