Replace a lost leader within a second; bound what is kept free

Cause 1: callers have 3 s in all, and a lost leader took 1.5 to 2 s. Change: elections after 550 to 850 ms, lease 480 ms; the reserve is at most a third of the free accelerators, and racks are held only while more than half of the accelerators are in use. Ruled out: a lost job: both jobs were stored and waited.

--- a/libraries/consensus/replica_runtime.cc
+++ b/libraries/consensus/replica_runtime.cc
@@ -53,6 +53,7 @@
   replica.durability =
       options.data_folder.empty() ? Durability::kMemory : Durability::kDisk;
   replica.commit_record = options.commit_record;
+  replica.timing = options.timing;
   // Above kFirstIncarnation in any case.
   replica.new_incarnation = RandomNumber() | 2;
   replica.seed = RandomNumber();
@@ -125,7 +126,7 @@
 
 bool ReplicaRuntime::Implementation::IsLeaderless(base::Instant now) const {
   return leaderless_since &&
-         now - *leaderless_since >= ReplicaTiming().election_maximum;
+         now - *leaderless_since >= options.timing.election_maximum;
 }
 
 void ReplicaRuntime::Implementation::Stop() {
--- a/libraries/consensus/replica_runtime.h
+++ b/libraries/consensus/replica_runtime.h
@@ -15,6 +15,7 @@
 #include "base/strong_id.h"
 #include "consensus/log_entry.h"
 #include "consensus/member.h"
+#include "consensus/replica_io.h"
 #include "consensus/replica_status.h"
 #include "consensus/state_machine.h"
 #include "net/event_loop.h"
@@ -60,6 +61,7 @@
   // without a disk.
   std::string data_folder;
   CommitRecord commit_record = CommitRecord::kNone;
+  ReplicaTiming timing;
   // Outlives the runtime.
   StateMachine* state_machine = nullptr;
   net::EventLoop* loop = nullptr;
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -244,9 +244,10 @@
   std::vector<Occupant> Occupants(const std::vector<WorkerRoom>& rooms,
                                   const Now& now) const;
   double RemainingMs(const RunKey& key, const Run& run, const Now& now) const;
+  void FollowUrgentDemand(const std::vector<ReadyStep>& ready, const Now& now);
   // Accelerators to keep free for urgent work that is expected.
-  std::uint64_t UrgentReserve(const std::vector<ReadyStep>& ready,
-                              const Now& now);
+  std::uint64_t UrgentReserve(const std::vector<WorkerRoom>& rooms) const;
+  static bool IsBusy(const std::vector<WorkerRoom>& rooms);
   void Reserve(const ReadyStep& ready,
                std::vector<WorkerRoom>& rooms,
                const Now& now) const;
@@ -283,7 +284,8 @@
   std::uint64_t last_proposal_ = 0;
   RunTimes run_times_;
   std::size_t waiting_tasks_ = 0;
-  // The highest recent demand of urgent jobs, in accelerators.
+  // The demand of urgent jobs and its highest recent value, in accelerators.
+  double urgent_demand_ = 0;
   double urgent_peak_ = 0;
   base::Instant urgent_peak_at_{};
   std::vector<Action> actions_;
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -17,8 +17,12 @@
 
 // How fast the reserve for urgent work shrinks after a burst.
 constexpr double kReserveHalfLifeMs = 6000;
-// At most this share of all accelerators is kept free for urgent work.
-constexpr double kLargestReserve = 0.25;
+// At most this share of the free accelerators is kept for urgent work, so that
+// others wait only while little is free.
+constexpr double kLargestReserve = 0.33;
+// Racks are held for gangs only while more than this share of the accelerators
+// is in use; below it, a gang that fits nowhere soon finds a place by itself.
+constexpr double kBusyShare = 0.5;
 // Racks that may be held for gangs that wait, at most.
 constexpr int kMaximumReservations = 3;
 
@@ -193,19 +197,19 @@
       [&](const ReadyStep& a, const ReadyStep& b) { return key(a) < key(b); });
   std::vector<WorkerRoom> rooms = Rooms(now);
   std::vector<Placement> placements;
-  const std::uint64_t reserve = UrgentReserve(ready, now);
+  FollowUrgentDemand(ready, now);
   bool kept = false;
   int reservations = 0;
   for (const ReadyStep& entry : ready) {
     const bool urgent = entry.job->policy.priority == 0;
     if (!urgent && !std::exchange(kept, true))
-      KeepForUrgent(rooms, reserve);
+      KeepForUrgent(rooms, UrgentReserve(rooms));
     if (PlaceStep(entry, rooms, placements, now))
       continue;
     if (urgent && Preempt(entry, rooms, now))
       continue;
     if (entry.spec->gang && urgency(entry) != Urgency::kWorthless &&
-        reservations < kMaximumReservations) {
+        reservations < kMaximumReservations && IsBusy(rooms)) {
       ++reservations;
       Reserve(entry, rooms, now);
     }
@@ -263,33 +267,49 @@
 }
 
 // Follows the demand of urgent jobs up at once and down slowly.
-std::uint64_t Dispatcher::UrgentReserve(const std::vector<ReadyStep>& ready,
-                                        const Now& now) {
+void Dispatcher::FollowUrgentDemand(const std::vector<ReadyStep>& ready,
+                                    const Now& now) {
   std::uint64_t held = 0;
   for (const auto& [key, run] : runs_) {
     if (run.priority == 0)
       held += run.resources.accelerators;
   }
-  double demand = static_cast<double>(held);
+  urgent_demand_ = static_cast<double>(held);
   for (const ReadyStep& entry : ready) {
     if (entry.job->policy.priority == 0) {
-      demand += static_cast<double>(entry.waiting.size() *
-                                    entry.spec->task.accelerators);
+      urgent_demand_ += static_cast<double>(entry.waiting.size() *
+                                            entry.spec->task.accelerators);
     }
   }
   const std::chrono::duration<double, std::milli> passed =
       now.instant - urgent_peak_at_;
-  urgent_peak_ = std::max(
-      demand, urgent_peak_ * std::exp2(-passed.count() / kReserveHalfLifeMs));
+  urgent_peak_ =
+      std::max(urgent_demand_,
+               urgent_peak_ * std::exp2(-passed.count() / kReserveHalfLifeMs));
   urgent_peak_at_ = now.instant;
-  std::uint64_t capacity = 0;
-  for (const auto& [id, worker] : workers_)
-    capacity += worker.description.capacity.accelerators;
-  const double reserve = std::min(
-      urgent_peak_ - demand, kLargestReserve * static_cast<double>(capacity));
+}
+
+std::uint64_t Dispatcher::UrgentReserve(
+    const std::vector<WorkerRoom>& rooms) const {
+  std::uint64_t free = 0;
+  for (const WorkerRoom& room : rooms)
+    free += room.free.accelerators;
+  const double reserve = std::min(urgent_peak_ - urgent_demand_,
+                                  kLargestReserve * static_cast<double>(free));
   return static_cast<std::uint64_t>(std::max(reserve, 0.0));
 }
 
+bool Dispatcher::IsBusy(const std::vector<WorkerRoom>& rooms) {
+  std::uint64_t free = 0;
+  std::uint64_t capacity = 0;
+  for (const WorkerRoom& room : rooms) {
+    free += room.free.accelerators;
+    capacity += room.capacity.accelerators;
+  }
+  return static_cast<double>(capacity - free) >
+         kBusyShare * static_cast<double>(capacity);
+}
+
 // Holds a rack for a gang that has no place, so that shorter or less urgent
 // tasks do not keep it busy for ever; what ends before may still use it.
 void Dispatcher::Reserve(const ReadyStep& ready,
--- a/libraries/jobs/leader_client.cc
+++ b/libraries/jobs/leader_client.cc
@@ -54,12 +54,14 @@
 void LeaderClient::Send(const Call& call,
                         base::Instant deadline,
                         std::function<void(CallResultOfLeader)> done) {
-  auto pending = std::make_shared<Pending>(Pending{
-      .body = EncodeCall(call),
-      .deadline = deadline,
-      .unsent_deadline =
-          std::min(deadline, base::MonotonicClock::now() + options_.patience),
-      .done = std::move(done)});
+  const base::Instant now = base::MonotonicClock::now();
+  const base::Duration patience =
+      std::min(options_.patience, (deadline - now) / options_.patience_divisor);
+  auto pending =
+      std::make_shared<Pending>(Pending{.body = EncodeCall(call),
+                                        .deadline = deadline,
+                                        .unsent_deadline = now + patience,
+                                        .done = std::move(done)});
   options_.loop->Post([this, pending] { Try(pending); });
 }
 
--- a/libraries/jobs/leader_client.h
+++ b/libraries/jobs/leader_client.h
@@ -29,12 +29,15 @@
   // A leader that answered within this time is trusted with the next call. It
   // spans two probes and is shorter than an election, so that few calls are
   // sent into a cut, where their outcome stays unknown.
-  base::Duration trust = std::chrono::milliseconds(700);
+  base::Duration trust = std::chrono::milliseconds(500);
   // Between probes for a leader while calls wait for one.
-  base::Duration probe_interval = std::chrono::milliseconds(150);
+  base::Duration probe_interval = std::chrono::milliseconds(100);
   // How long a call that was sent nowhere waits for a leader. Callers that are
   // told soon can still come back before their deadline.
   base::Duration patience = std::chrono::milliseconds(500);
+  // It waits at most this share of its time, so that a caller in haste can
+  // still turn elsewhere.
+  int patience_divisor = 6;
 };
 
 // Whether a call without a final answer may have reached a scheduler.
--- a/services/gateway/gateway_process.cc
+++ b/services/gateway/gateway_process.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Two fit into the time for which LeaderClient trusts a leader.
-constexpr base::Duration kPingInterval = std::chrono::milliseconds(300);
+constexpr base::Duration kPingInterval = std::chrono::milliseconds(200);
 // An answer of the leader within this time makes the gateway ready. The
 // balancer needs two misses, so an election passes unnoticed.
 constexpr base::Duration kReadyFor = std::chrono::milliseconds(1200);
--- a/services/scheduler/placement_loop.cc
+++ b/services/scheduler/placement_loop.cc
@@ -12,9 +12,6 @@
 // Between rounds without an event, for timeouts and due times.
 constexpr base::Duration kRoundInterval = std::chrono::milliseconds(50);
 constexpr base::Duration kProposeTimeout = std::chrono::milliseconds(2500);
-// As the lease of consensus::ReplicaTiming: a majority confirmed this leader
-// within it, and no other can be elected before it has passed.
-constexpr base::Duration kLeaderLease = std::chrono::milliseconds(800);
 // How long the state of a job can be read after it has ended, with a reserve
 // for clocks that differ.
 constexpr std::uint64_t kKeepEndedMs = 180'000;
@@ -63,7 +60,7 @@
   const consensus::ReplicaStatus status = replica_->status();
   return status.role == consensus::Role::kLeader && status.term == term &&
          status.since_leader_contact &&
-         *status.since_leader_contact < kLeaderLease;
+         *status.since_leader_contact < options_.leader_lease;
 }
 
 bool PlacementLoop::Leads() const {
--- a/services/scheduler/placement_loop.h
+++ b/services/scheduler/placement_loop.h
@@ -24,6 +24,9 @@
   base::CounterRegistry* counters = nullptr;
   std::shared_ptr<base::EventLog> log;
   jobs::DispatcherOptions dispatcher;
+  // As consensus::ReplicaTiming::lease: a majority confirmed this leader within
+  // it, and no other can be elected before it has passed.
+  base::Duration leader_lease = consensus::ReplicaTiming().lease;
 };
 
 // Drives the dispatcher while this host leads: feeds it events and carries out
--- a/services/scheduler/scheduler_process.cc
+++ b/services/scheduler/scheduler_process.cc
@@ -20,6 +20,26 @@
 
 constexpr char kGroup[] = "jobs";
 
+// Callers wait 3 s for an answer in all, so a lost leader is replaced within
+// one. The hosts are a millisecond apart; a host that is throttled for a tenth
+// of a second, or slow by a factor of five, still sends in time.
+consensus::ReplicaTiming GroupTiming() {
+  using std::chrono::milliseconds;
+  consensus::ReplicaTiming timing;
+  timing.heartbeat = milliseconds(150);
+  timing.learner_heartbeat = milliseconds(1000);
+  timing.election_minimum = milliseconds(550);
+  timing.election_maximum = milliseconds(850);
+  timing.lease = milliseconds(480);
+  timing.pre_vote_retry_minimum = milliseconds(60);
+  timing.pre_vote_retry_maximum = milliseconds(160);
+  timing.vote_retry_minimum = milliseconds(100);
+  timing.vote_retry_maximum = milliseconds(300);
+  timing.formation_question = milliseconds(150);
+  timing.rejoin_question = milliseconds(400);
+  return timing;
+}
+
 consensus::MemberList InitialMembers(const SchedulerOptions& options,
                                      const std::string& self) {
   consensus::MemberList members;
@@ -80,6 +100,7 @@
       .host = base::HostId(self),
       .initial_members = InitialMembers(options, self),
       .data_folder = options.data_folder + "/" + kGroup,
+      .timing = GroupTiming(),
       .state_machine = &jobs,
       .loop = &loop,
       .channel =
@@ -106,7 +127,8 @@
                            .workers = options.workers,
                            .counters = options.counters,
                            .log = options.log,
-                           .dispatcher = options.dispatcher});
+                           .dispatcher = options.dispatcher,
+                           .leader_lease = GroupTiming().lease});
   TRY(OpenReplica());
   calls = std::make_unique<CallService>(
       CallServiceOptions{.loop = &loop,
