Make rounds of decisions cheaper and stop no gang that is done

Cause: each round copied all workers, compared each waiting step with each room, and sent stops to members of gangs that were done. Change: workers are taken over only when they changed, steps of a shape that was refused in the round are skipped, rounds collect events for 2 ms and pause with the length of the queue.

--- a/libraries/jobs/dispatcher.cc
+++ b/libraries/jobs/dispatcher.cc
@@ -32,6 +32,7 @@
 
 void Dispatcher::Resign() {
   fencing_token_ = 0;
+  worker_revision_ = 0;
   workers_.clear();
   runs_.clear();
   pending_.clear();
@@ -80,6 +81,9 @@
 
 // Takes over what the log says of workers. A new life starts from nothing.
 void Dispatcher::SyncWorkers(const Now& now) {
+  if (worker_revision_ == store_.worker_revision())
+    return;
+  worker_revision_ = store_.worker_revision();
   std::erase_if(workers_, [&](const auto& item) {
     const auto known = store_.workers().find(item.first);
     return known == store_.workers().end() ||
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -8,6 +8,9 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
+#include <utility>
+#include <variant>
 #include <vector>
 
 #include "base/monotonic_clock.h"
@@ -239,6 +242,9 @@
 
   // dispatcher_placement.cc
   void PlaceRound(const Now& now);
+  // Rooms that refused a gang of a shape refuse larger ones of it as well.
+  using Shape = std::tuple<Resources, std::string, std::string, bool, bool>;
+  static Shape ShapeOf(const ReadyStep& ready, RackRule rule);
   std::vector<WorkerRoom> Rooms(const Now& now) const;
   // What holds room, with positions of `rooms`.
   std::vector<Occupant> Occupants(const std::vector<WorkerRoom>& rooms,
@@ -279,11 +285,15 @@
   // 0 while another host leads.
   std::uint64_t fencing_token_ = 0;
   std::map<base::WorkerId, Worker> workers_;
+  // Of the store, when it was taken over.
+  std::uint64_t worker_revision_ = 0;
   std::map<RunKey, Run> runs_;
   std::map<std::uint64_t, Pending> pending_;
   std::uint64_t last_proposal_ = 0;
   RunTimes run_times_;
   std::size_t waiting_tasks_ = 0;
+  // When the next round of placement may begin.
+  base::Instant next_placement_at_{};
   // The demand of urgent jobs and its highest recent value, in accelerators.
   double urgent_demand_ = 0;
   double urgent_peak_ = 0;
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -26,6 +26,10 @@
 // Racks that may be held for gangs that wait, at most.
 constexpr int kMaximumReservations = 3;
 
+// Pause after a round of placement for each step that was waiting.
+constexpr base::Duration kPausePerStep = std::chrono::microseconds(400);
+constexpr base::Duration kLongestPause = std::chrono::milliseconds(60);
+
 enum class Urgency { kInTime, kLate, kWorthless };
 
 }  // namespace
@@ -128,6 +132,8 @@
     const std::vector<WorkerRoom>& rooms,
     const StepRef& step) const {
   std::vector<std::uint32_t> used(rooms.size());
+  if (store_.FindJob(step.job)->spec.steps[step.step].max_per_worker == 0)
+    return used;
   const RunKey first{.task = {.job = step.job,
                               .occurrence = step.occurrence,
                               .step = step.step}};
@@ -168,11 +174,25 @@
   return possible ? RackRule::kOneRack : RackRule::kAnyRack;
 }
 
+Dispatcher::Shape Dispatcher::ShapeOf(const ReadyStep& ready, RackRule rule) {
+  const StepSpec& step = *ready.spec;
+  return {step.task, ready.job->pool + "/" + step.required_label,
+          step.data_rack, step.rack_local && rule == RackRule::kOneRack,
+          ready.job->policy.priority == 0};
+}
+
 // Load pattern: bursts of short urgent gangs on top of long ones. Urgent
 // queues come first; within one queue class, jobs that can still be in time go
 // before those that are late, and those that nobody waits for come last.
 void Dispatcher::PlaceRound(const Now& now) {
+  if (now.instant < next_placement_at_)
+    return;
   std::vector<ReadyStep> ready = ReadySteps(now);
+  // With a long queue, rounds are rare, so that a small host keeps time for
+  // starts and lists.
+  next_placement_at_ =
+      now.instant +
+      std::min<base::Duration>(kLongestPause, kPausePerStep * ready.size());
   waiting_tasks_ = 0;
   for (const ReadyStep& entry : ready)
     waiting_tasks_ += entry.waiting.size();
@@ -200,12 +220,21 @@
   FollowUrgentDemand(ready, now);
   bool kept = false;
   int reservations = 0;
+  std::map<Shape, std::uint32_t> refused;
   for (const ReadyStep& entry : ready) {
     const bool urgent = entry.job->policy.priority == 0;
     if (!urgent && !std::exchange(kept, true))
       KeepForUrgent(rooms, UrgentReserve(rooms));
+    const Shape shape = ShapeOf(entry, RuleFor(entry, rooms, now));
+    const auto known = refused.find(shape);
+    if (known != refused.end() && entry.waiting.size() >= known->second)
+      continue;
     if (PlaceStep(entry, rooms, placements, now))
       continue;
+    if (entry.spec->gang && entry.spec->max_per_worker == 0)
+      refused[shape] = static_cast<std::uint32_t>(entry.waiting.size());
+    else if (!entry.spec->gang && entry.spec->max_per_worker == 0)
+      refused[shape] = 1;
     if (urgent && Preempt(entry, rooms, now))
       continue;
     if (entry.spec->gang && urgency(entry) != Urgency::kWorthless &&
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -92,8 +92,6 @@
   const JobRecord* job = store_.FindJob(key.task.job);
   if (job == nullptr)
     return "job_unknown";
-  if (job->ended())
-    return job->state == JobState::kCancelled ? "job_cancelled" : "job_ended";
   const std::vector<TaskProgress>* tasks =
       job->FindProgress(key.task.occurrence, key.task.step);
   if (tasks == nullptr || key.task.index >= tasks->size())
@@ -105,6 +103,8 @@
   if (task.phase == TaskPhase::kDone)
     return run.gang ? std::nullopt
                     : std::optional<std::string>("done_elsewhere");
+  if (job->ended())
+    return job->state == JobState::kCancelled ? "job_cancelled" : "job_ended";
   if (task.phase == TaskPhase::kWaiting)
     return "not_placed";
   if (run.gang) {
--- a/libraries/jobs/job_store.cc
+++ b/libraries/jobs/job_store.cc
@@ -215,6 +215,7 @@
     other = replaced ? workers_.erase(other) : std::next(other);
   }
   workers_[worker.life.id] = worker;
+  ++worker_revision_;
   return CommandReply::kApplied;
 }
 
@@ -223,6 +224,7 @@
   if (found == workers_.end() || found->second.life != command.life)
     return CommandReply::kNotFound;
   workers_.erase(found);
+  ++worker_revision_;
   return CommandReply::kApplied;
 }
 
@@ -239,7 +241,9 @@
 }
 
 base::Result<std::monostate> JobStore::Restore(std::string_view snapshot) {
+  const std::uint64_t revision = worker_revision_;
   *this = TRY(net::Decode<JobStore>(snapshot));
+  worker_revision_ = revision + 1;
   return std::monostate{};
 }
 
--- a/libraries/jobs/job_store.h
+++ b/libraries/jobs/job_store.h
@@ -35,6 +35,9 @@
     return workers_;
   }
 
+  // Rises with each change of workers(); differs between hosts.
+  std::uint64_t worker_revision() const { return worker_revision_; }
+
   // Jobs of a queue of which no task was ever placed.
   std::uint64_t PendingJobs(const std::string& queue) const;
 
@@ -42,8 +45,6 @@
   // Fails with kCorruptData.
   base::Result<std::monostate> Restore(std::string_view snapshot);
 
-  bool operator==(const JobStore&) const = default;
-
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: cereal's name.
     archive(term_, configuration_, document_, out_of_service_, jobs_,
@@ -76,6 +77,7 @@
   std::map<base::JobId, JobRecord> jobs_;
   std::set<base::JobId> open_jobs_;
   std::map<base::WorkerId, WorkerDescription> workers_;
+  std::uint64_t worker_revision_ = 1;
 };
 
 }  // namespace wigeonstair::jobs
--- a/services/scheduler/placement_loop.cc
+++ b/services/scheduler/placement_loop.cc
@@ -11,6 +11,8 @@
 
 // Between rounds without an event, for timeouts and due times.
 constexpr base::Duration kRoundInterval = std::chrono::milliseconds(50);
+// Collects the events of one round.
+constexpr base::Duration kRoundDelay = std::chrono::milliseconds(2);
 constexpr base::Duration kProposeTimeout = std::chrono::milliseconds(2500);
 // How long the state of a job can be read after it has ended, with a reserve
 // for clocks that differ.
@@ -45,7 +47,7 @@
 void PlacementLoop::ScheduleRound() {
   if (round_posted_.exchange(true))
     return;
-  options_.loop->Post([this] {
+  options_.loop->Schedule(kRoundDelay, [this] {
     round_posted_ = false;
     Round();
   });
