Leave silent domains alone and move runs that hang or are slow

Cause: starts sent into a cut stay in doubt until leases run out, and tasks on workers that stand still or are slow end far too late.

--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -140,7 +140,13 @@
     // The task must not be reported as ended: a later list will tell.
     bool stop_accepted = false;
     std::uint32_t percent = 0;
+    // When the percent or the checkpoint last changed.
     base::Instant progress_at;
+    // A sample of the percent from which the speed is taken.
+    std::optional<base::Instant> sampled_at;
+    std::uint32_t sampled_percent = 0;
+    // Percent a second between the last two samples.
+    std::optional<double> speed;
     std::string checkpoint;
   };
 
@@ -168,6 +174,8 @@
     // success.
     int failures = 0;
     base::Instant avoid_until;
+    // Of the last call that it did not answer; empty after an answer.
+    std::optional<base::Instant> unanswered_at;
     bool removal_proposed = false;
   };
 
@@ -229,6 +237,17 @@
                   const Now& now);
   std::string GangCheckpoint(const TaskRef& task) const;
 
+  // dispatcher_health.cc
+  void NoteAnswer(Worker& worker, const Now& now);
+  void NoteSilence(Worker& worker, const Now& now);
+  // Domains in which several workers stopped to answer a moment ago.
+  std::set<base::DomainId> SilentDomains(const Now& now) const;
+  void Sample(Run& run, std::uint32_t percent, const Now& now);
+  std::optional<std::string> StallOf(const RunKey& key,
+                                     const Run& run,
+                                     const Now& now) const;
+  bool IsSlowestOfStep(const RunKey& key, double speed) const;
+
   // dispatcher_lists.cc
   void DriveHolds(const Now& now);
   void SendHold(Worker& worker, std::uint32_t wait_ms, const Now& now);
--- a/libraries/jobs/dispatcher_lists.cc
+++ b/libraries/jobs/dispatcher_lists.cc
@@ -107,11 +107,12 @@
   const bool same_life = answer.lists && answer.lists->born == call.worker.born;
   if (!same_life) {
     worker->next_hold_at = now.instant + kHoldRetry;
+    if (!answer.lists && !answer.fenced)
+      NoteSilence(*worker, now);
     return;
   }
   NoteClock(*worker, answer.lists->clock_ms, now);
-  worker->heard_at = now.instant;
-  worker->answered_at = now.instant;
+  NoteAnswer(*worker, now);
   worker->listed_in_term = true;
   worker->next_hold_at = now.instant;
   worker->told_end = std::max(worker->told_end, call.acknowledged_end);
@@ -151,6 +152,7 @@
     if (entry.percent != run.percent || entry.checkpoint != run.checkpoint)
       run.progress_at = now.instant;
     run.percent = entry.percent;
+    Sample(run, entry.percent, now);
     if (!entry.checkpoint.empty())
       run.checkpoint = entry.checkpoint;
   }
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -17,11 +17,10 @@
 
 // How fast the reserve for urgent work shrinks after a burst.
 constexpr double kReserveHalfLifeMs = 6000;
-// At most this share of the free accelerators is kept for urgent work, so that
-// others wait only while little is free.
-constexpr double kLargestReserve = 0.33;
-// Racks are held for gangs only while more than this share of the accelerators
-// is in use; below it, a gang that fits nowhere soon finds a place by itself.
+// At most this share of all accelerators is kept free for urgent work.
+constexpr double kLargestReserve = 0.25;
+// Room is kept for urgent work and for gangs only while more than this share of
+// the accelerators is in use: nothing that could run may wait below it.
 constexpr double kBusyShare = 0.5;
 // Racks that may be held for gangs that wait, at most.
 constexpr int kMaximumReservations = 3;
@@ -30,6 +29,9 @@
 constexpr base::Duration kPausePerStep = std::chrono::microseconds(400);
 constexpr base::Duration kLongestPause = std::chrono::milliseconds(60);
 
+// A worker of a suspect domain that answered so recently is used.
+constexpr base::Duration kFresh = std::chrono::milliseconds(400);
+
 enum class Urgency { kInTime, kLate, kWorthless };
 
 }  // namespace
@@ -38,9 +40,14 @@
   std::map<WorkerLife, Resources> taken;
   for (const auto& [key, run] : runs_)
     taken[run.worker] += run.resources;
+  const std::set<base::DomainId> silent = SilentDomains(now);
   std::vector<WorkerRoom> rooms;
   for (const auto& [id, worker] : workers_) {
     const WorkerDescription& description = worker.description;
+    if (worker.unanswered_at || (silent.contains(description.domain) &&
+                                 now.instant - worker.answered_at > kFresh)) {
+      continue;
+    }
     const bool heard = now.instant - worker.heard_at <
                        kMissedHeartbeats * options_.heartbeat + kHeartbeatSlack;
     if (description.phase != WorkerPhase::kReady || !heard ||
@@ -148,17 +155,18 @@
 }
 
 // A gang that fits into one rack waits for one while it can still be done in
-// time there: elsewhere it would hold its workers several times as long.
+// time there, and while others need the room: elsewhere it would hold its
+// workers several times as long.
 RackRule Dispatcher::RuleFor(const ReadyStep& ready,
                              const std::vector<WorkerRoom>& rooms,
                              const Now& now) const {
   const StepSpec& step = *ready.spec;
   if (!step.rack_local && step.data_rack.empty())
     return RackRule::kAnyRack;
-  if (static_cast<double>(now.wall_ms) + ready.work_ms >
-      static_cast<double>(ready.objective_ms)) {
+  const bool missed = static_cast<double>(now.wall_ms) + ready.work_ms >
+                      static_cast<double>(ready.objective_ms);
+  if (missed && !IsBusy(rooms))
     return RackRule::kAnyRack;
-  }
   std::map<base::RackId, std::uint64_t> fits;
   const PlanRequest request{.step = &step, .pool = ready.job->pool};
   for (const WorkerRoom& room : rooms) {
@@ -320,11 +328,14 @@
 
 std::uint64_t Dispatcher::UrgentReserve(
     const std::vector<WorkerRoom>& rooms) const {
-  std::uint64_t free = 0;
+  if (!IsBusy(rooms))
+    return 0;
+  std::uint64_t capacity = 0;
   for (const WorkerRoom& room : rooms)
-    free += room.free.accelerators;
-  const double reserve = std::min(urgent_peak_ - urgent_demand_,
-                                  kLargestReserve * static_cast<double>(free));
+    capacity += room.capacity.accelerators;
+  const double reserve =
+      std::min(urgent_peak_ - urgent_demand_,
+               kLargestReserve * static_cast<double>(capacity));
   return static_cast<std::uint64_t>(std::max(reserve, 0.0));
 }
 
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -14,6 +14,11 @@
 // How long a worker gets no further starts after it refused or lost one.
 constexpr base::Duration kRefusalPause = std::chrono::milliseconds(700);
 constexpr base::Duration kSilencePause = std::chrono::seconds(2);
+// How long a worker whose tasks stand still or are slow gets no others.
+constexpr base::Duration kStallPause = std::chrono::seconds(4);
+// A start carries a short lease, which the first hold extends: a start that is
+// lost in a cut is in doubt only so long.
+constexpr base::Duration kStartLease = std::chrono::milliseconds(3500);
 // Share of the gang's wait after which an incomplete gang is given up, so that
 // the stops arrive before its members end by themselves.
 constexpr int kGangPatienceDivisor = 2;
@@ -55,6 +60,17 @@
       expired.push_back(key);
       continue;
     }
+    if (run.phase == RunPhase::kRunning) {
+      if (auto stall = StallOf(key, run, now)) {
+        // In a gang any member may be the cause; all of their workers come
+        // last in the next plan.
+        Worker& stalled = workers_.at(run.worker.id);
+        stalled.failures = std::max(stalled.failures, 1);
+        if (!run.gang)
+          stalled.avoid_until = now.instant + kStallPause;
+        RequestStop(key, run, std::move(*stall), now);
+      }
+    }
     if (run.phase != RunPhase::kStopping) {
       if (auto reason = StopReason(key, run, now)) {
         if (run.phase == RunPhase::kStarting && run.starts_sent == 0) {
@@ -146,7 +162,7 @@
   const JobRecord* job = store_.FindJob(key.task.job);
   const auto lease_ms = static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
-          options_.longest_lease)
+          std::min(options_.longest_lease, kStartLease))
           .count());
   const std::uint64_t lease_until_ms = ClockOf(*worker, now) + lease_ms;
   ExtendLeaseBound(*worker, lease_until_ms, now);
@@ -209,8 +225,7 @@
     return;
   if (answer.clock_ms) {
     NoteClock(*worker, *answer.clock_ms, now);
-    worker->heard_at = now.instant;
-    worker->answered_at = now.instant;
+    NoteAnswer(*worker, now);
   }
   // A stop that was sent meanwhile decides.
   if (run.phase != RunPhase::kStarting)
@@ -222,6 +237,7 @@
       run.running_since = now.instant;
       run.progress_at = now.instant;
       run.settled_at = now.instant;
+      worker->next_hold_at = std::min(worker->next_hold_at, now.instant);
       break;
     case CallResult::kOld:
       // An earlier call with this number was carried out; the lists tell how
@@ -238,6 +254,7 @@
         ReturnRuns({call.run}, "not_reached", now);
       break;
     case CallResult::kUnanswered:
+      NoteSilence(*worker, now);
       run.next_call_at = now.instant;
       worker->avoid_until = now.instant + kSilencePause;
       break;
@@ -276,8 +293,7 @@
     return;
   if (answer.clock_ms) {
     NoteClock(*worker, *answer.clock_ms, now);
-    worker->heard_at = now.instant;
-    worker->answered_at = now.instant;
+    NoteAnswer(*worker, now);
   }
   if (run.phase != RunPhase::kStopping)
     return;
--- a/services/gateway/gateway_process.cc
+++ b/services/gateway/gateway_process.cc
@@ -10,7 +10,7 @@
 constexpr base::Duration kPingInterval = std::chrono::milliseconds(200);
 // An answer of the leader within this time makes the gateway ready. The
 // balancer needs two misses, so an election passes unnoticed.
-constexpr base::Duration kReadyFor = std::chrono::milliseconds(1200);
+constexpr base::Duration kReadyFor = std::chrono::milliseconds(800);
 
 }  // namespace
 
