Refuse at once a job that would end worthless

Cause: every job was accepted, so callers waited for jobs that could only end beyond three times their objective. Change: the accelerator time ahead of a job, by priority and learned run times, predicts its end; beyond its worth it is refused with a time to return that is spread by its id. Urgent jobs and jobs that come while more than half of the fleet is free are always taken.

--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -94,11 +94,11 @@
   std::vector<Action> TakeActions();
   std::vector<Decision> TakeDecisions();
 
-  // When a job of the queue that comes now would be done too late, the time
-  // after which it should come again.
-  std::optional<base::Duration> RefusalOf(const Queue& queue,
-                                          const JobSpec& spec,
-                                          const base::CustomerId& customer,
+  // When a job that comes now would end only after it is worth nothing, the
+  // time after which it should come again. Urgent jobs are always taken.
+  std::optional<base::Duration> RefusalOf(const QueuePolicy& policy,
+                                          const std::string& queue,
+                                          const JobRecord& job,
                                           const Now& now) const;
 
   // For tests and metrics.
@@ -296,6 +296,7 @@
   RackRule RuleFor(const ReadyStep& ready,
                    const std::vector<WorkerRoom>& rooms,
                    const Now& now) const;
+  double WorkAhead(std::uint32_t priority, const Now& now) const;
   double WorkOf(const JobRecord& job, std::uint32_t step) const;
   double ChainOf(const std::string& queue, const JobSpec& spec) const;
 
--- a/services/scheduler/call_service.cc
+++ b/services/scheduler/call_service.cc
@@ -111,9 +111,8 @@
              .policy = target.queue->policy,
              .spec = call.spec,
              .accepted_ms = WallMs()};
-      if (const auto retry_after =
-              dispatcher.RefusalOf(*target.queue, call.spec, target.customer,
-                                   options_.placement->Time())) {
+      if (const auto retry_after = dispatcher.RefusalOf(
+              job.policy, job.queue, job, options_.placement->Time())) {
         const auto wait =
             std::chrono::duration_cast<std::chrono::milliseconds>(*retry_after);
         early = {.status = jobs::ReplyStatus::kRefused,
--- a/tests/jobs/dispatch_simulation.h
+++ b/tests/jobs/dispatch_simulation.h
@@ -43,6 +43,7 @@
   void Restart(std::size_t worker);
   void SetPhase(std::size_t worker, WorkerPhase phase);
 
+  Now Time() const;
   FakeFleet& fleet() { return fleet_; }
   const JobStore& store() const { return store_; }
   Dispatcher& dispatcher() { return dispatcher_; }
@@ -58,7 +59,6 @@
     std::uint64_t sent_ms = 0;
   };
 
-  Now Time() const;
   void Later(std::uint64_t delay_ms, std::function<void()> event);
   void CarryOut(const StartAction& call);
   void CarryOut(const StopAction& call);
--- a/tests/jobs/dispatcher_load_test.cc
+++ b/tests/jobs/dispatcher_load_test.cc
@@ -100,6 +100,42 @@
   CHECK(simulation.fleet().starts() == 28);
 }
 
+// Load pattern: far more work than can be done in time.
+TEST_CASE("a job that would end worthless is refused with a time to return") {
+  DispatchSimulation simulation({});
+  const auto refusal = [&](std::uint32_t priority, const std::string& id) {
+    const JobRecord job{.id = base::JobId(id),
+                        .spec = {.steps = {Gang(2, 8, 2000)}}};
+    const QueuePolicy policy{
+        .priority = priority, .stretch = 3, .completion_target_ms = 1000};
+    return simulation.dispatcher().RefusalOf(policy, "q", job,
+                                             simulation.Time());
+  };
+  simulation.RunFor(500);
+  CHECK_FALSE(refusal(2, "a"));
+  for (int i = 0; i < 30; ++i)
+    simulation.Submit("l" + std::to_string(i), {Step(96, 1, 2000)}, 1);
+  simulation.RunFor(500);
+  const auto first = refusal(2, "a");
+  REQUIRE(first);
+  CHECK(*first >= std::chrono::seconds(1));
+  // Callers that come together return apart.
+  CHECK(first != refusal(2, "b"));
+  // Urgent jobs are taken whatever waits behind them.
+  CHECK_FALSE(refusal(0, "a"));
+}
+
+// Guards against refusals while workers are free.
+TEST_CASE("a job is accepted while the fleet has room") {
+  DispatchSimulation simulation({});
+  simulation.Submit("l", {Step(40, 1, 60'000)}, 1);
+  simulation.RunFor(500);
+  const JobRecord job{.id = base::JobId("a"),
+                      .spec = {.steps = {Gang(2, 8, 2000)}}};
+  CHECK_FALSE(simulation.dispatcher().RefusalOf({.priority = 2, .stretch = 1},
+                                                "q", job, simulation.Time()));
+}
+
 // Load pattern: cancellations in waves.
 TEST_CASE("a wave of cancellations frees the room for others") {
   DispatchSimulation simulation({});
