--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -261,6 +261,7 @@
   if (placements.empty())
     return;
   std::vector<RunKey> keys;
+  keys.reserve(placements.size());
   for (const Placement& placement : placements)
     keys.push_back({.task = placement.task, .attempt = placement.attempt});
   Propose(
--- a/libraries/jobs/planner.cc
+++ b/libraries/jobs/planner.cc
@@ -103,6 +103,7 @@
 std::vector<std::size_t> FewRacks(
     const std::map<base::RackId, RackRoom>& racks) {
   std::vector<const RackRoom*> order;
+  order.reserve(racks.size());
   for (const auto& [id, rack] : racks)
     order.push_back(&rack);
   std::stable_sort(order.begin(), order.end(),
--- a/services/scheduler/call_service.cc
+++ b/services/scheduler/call_service.cc
@@ -36,7 +36,7 @@
   std::visit([&](const auto& chosen) { Execute(chosen, reply); }, call);
 }
 
-void CallService::Commit(jobs::Command command,
+void CallService::Commit(const jobs::Command& command,
                          const ReplyCallback& reply,
                          std::function<jobs::Reply(jobs::CommandReply)> map) {
   options_.replica->Propose(
--- a/services/scheduler/call_service.h
+++ b/services/scheduler/call_service.h
@@ -52,7 +52,7 @@
   void Execute(const jobs::PingCall& call, const ReplyCallback& reply);
 
   // Commits a command and maps its result.
-  void Commit(jobs::Command command,
+  void Commit(const jobs::Command& command,
               const ReplyCallback& reply,
               std::function<jobs::Reply(jobs::CommandReply)> map);
   // Runs `read` once everything that was acknowledged before is applied.
--- a/services/scheduler/scheduler_process.cc
+++ b/services/scheduler/scheduler_process.cc
@@ -78,7 +78,7 @@
   void HandleCall(const std::string& body, net::MessageReply reply);
   void CallHere(const jobs::Call& call,
                 base::Instant deadline,
-                std::function<void(jobs::Reply)> done);
+                const std::function<void(jobs::Reply)>& done);
   jobs::Envelope Hint() const;
 
   const SchedulerOptions options;
@@ -201,7 +201,7 @@
 void SchedulerProcess::Implementation::CallHere(
     const jobs::Call& call,
     base::Instant deadline,
-    std::function<void(jobs::Reply)> done) {
+    const std::function<void(jobs::Reply)>& done) {
   if (!placement->Leads()) {
     leader.Send(call, deadline, [done](const jobs::CallResultOfLeader& result) {
       done(result.reply);
