Split the placement of the dispatcher by topic

Change: files for admission, reserves and preemption, preemption in short functions, one check of an answer. No decision changes.

--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -21,6 +21,9 @@
 
 namespace wigeonstair::jobs {
 
+// A job earns less after its objective and nothing after this multiple of it.
+inline constexpr double kWorthlessAfter = 3;
+
 struct DispatcherOptions {
   // The longest lease that a worker gives.
   base::Duration longest_lease = std::chrono::seconds(6);
@@ -199,6 +202,14 @@
     double work_ms = 0;
   };
 
+  // Runs that are stopped together.
+  struct Victim {
+    StepRef step;
+    // Core-seconds of work that are lost.
+    double lost = 0;
+    std::vector<RunKey> runs;
+  };
+
   // dispatcher.cc
   void Propose(Command command, std::optional<Pending> pending);
   void Decide(std::string_view kind,
@@ -217,6 +228,13 @@
                         const Now& now);
 
   // dispatcher_runs.cc
+  // The run that an answer is about, if it is still of interest. Notes that the
+  // worker answered.
+  Run* FindAnswered(const RunKey& key,
+                    const WorkerLife& worker,
+                    std::uint64_t fencing_token,
+                    const CallAnswer& answer,
+                    const Now& now);
   void AddRun(const Placement& placement, const Now& now);
   void DriveRuns(const Now& now);
   void DriveStart(const RunKey& key, Run& run, const Now& now);
@@ -259,7 +277,8 @@
   void ExpireWorkers(const Now& now);
   void LearnFrom(const ListedEnd& end, Worker& worker, const Now& now);
 
-  // dispatcher_placement.cc
+  // dispatcher_placement.cc, dispatcher_reserve.cc, dispatcher_preempt.cc and
+  // dispatcher_admission.cc
   void PlaceRound(const Now& now);
   // Rooms that refused a gang of a shape refuse larger ones of it as well.
   using Shape = std::tuple<Resources, std::string, std::string, bool, bool>;
@@ -289,6 +308,12 @@
               std::vector<WorkerRoom>& rooms,
               std::vector<Placement>& placements,
               const Now& now);
+  std::vector<Victim> Victims(const Now& now) const;
+  void StopVictim(const Victim& victim,
+                  const std::set<WorkerLife>& workers,
+                  const base::JobId& job,
+                  const Now& now);
+  bool IsGuaranteed(const ReadyStep& ready) const;
   bool Preempt(const ReadyStep& ready,
                std::vector<WorkerRoom>& rooms,
                const Now& now);
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -12,16 +12,7 @@
 // Heartbeats that a worker may miss before it gets no new tasks.
 constexpr int kMissedHeartbeats = 2;
 constexpr base::Duration kHeartbeatSlack = std::chrono::milliseconds(400);
-// A job earns less after its objective and nothing after this multiple of it.
-constexpr double kWorthlessAfter = 3;
 
-// How fast the reserve for urgent work shrinks after a burst.
-constexpr double kReserveHalfLifeMs = 6000;
-// At most this share of all accelerators is kept free for urgent work.
-constexpr double kLargestReserve = 0.25;
-// Room is kept for urgent work and for gangs only while more than this share of
-// the accelerators is in use: nothing that could run may wait below it.
-constexpr double kBusyShare = 0.5;
 // Racks that may be held for gangs that wait, at most.
 constexpr int kMaximumReservations = 3;
 
@@ -29,13 +20,6 @@
 constexpr base::Duration kPausePerStep = std::chrono::microseconds(400);
 constexpr base::Duration kLongestPause = std::chrono::milliseconds(60);
 
-// Part of the accelerators that work can use at best: gangs leave gaps.
-constexpr double kUsableShare = 0.8;
-// When callers that were refused may come back.
-constexpr base::Duration kSoonestReturn = std::chrono::seconds(1);
-constexpr base::Duration kLatestReturn = std::chrono::seconds(30);
-constexpr double kReturnSpread = 0.5;
-
 // A worker of a suspect domain that answered so recently is used.
 constexpr base::Duration kFresh = std::chrono::milliseconds(400);
 
@@ -78,25 +62,6 @@
   return rooms;
 }
 
-double Dispatcher::WorkOf(const JobRecord& job, std::uint32_t step) const {
-  return run_times_.Expect(job.queue, job.spec.steps[step].estimate_ms);
-}
-
-// The longest chain of steps that wait for each other, in milliseconds.
-double Dispatcher::ChainOf(const std::string& queue,
-                           const JobSpec& spec) const {
-  std::vector<double> until(spec.steps.size());
-  double longest = 0;
-  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
-    double begin = 0;
-    for (const std::uint32_t earlier : spec.steps[i].depends_on)
-      begin = std::max(begin, until[earlier]);
-    until[i] = begin + run_times_.Expect(queue, spec.steps[i].estimate_ms);
-    longest = std::max(longest, until[i]);
-  }
-  return longest;
-}
-
 std::vector<Dispatcher::ReadyStep> Dispatcher::ReadySteps(
     const Now& now) const {
   const auto early_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -277,100 +242,6 @@
           .urgent = ready.job->policy.priority == 0};
 }
 
-double Dispatcher::RemainingMs(const RunKey& key,
-                               const Run& run,
-                               const Now& now) const {
-  constexpr double kSoonMs = 200;
-  if (run.phase == RunPhase::kStopping || run.phase == RunPhase::kEnding)
-    return kSoonMs;
-  const JobRecord* job = store_.FindJob(key.task.job);
-  if (job == nullptr)
-    return kSoonMs;
-  const double whole =
-      WorkOf(*job, key.task.step) * (run.remote ? options_.remote_factor : 1);
-  const std::chrono::duration<double, std::milli> ran =
-      now.instant - run.running_since.value_or(now.instant);
-  return std::max(kSoonMs, whole - ran.count());
-}
-
-std::vector<Occupant> Dispatcher::Occupants(
-    const std::vector<WorkerRoom>& rooms,
-    const Now& now) const {
-  std::map<WorkerLife, std::size_t> position;
-  for (std::size_t i = 0; i < rooms.size(); ++i)
-    position[rooms[i].life] = i;
-  std::vector<Occupant> occupants;
-  for (const auto& [key, run] : runs_) {
-    const auto room = position.find(run.worker);
-    if (room == position.end())
-      continue;
-    occupants.push_back({.room = room->second,
-                         .resources = run.resources,
-                         .remaining_ms = RemainingMs(key, run, now)});
-  }
-  return occupants;
-}
-
-// Follows the demand of urgent jobs up at once and down slowly.
-void Dispatcher::FollowUrgentDemand(const std::vector<ReadyStep>& ready,
-                                    const Now& now) {
-  std::uint64_t held = 0;
-  for (const auto& [key, run] : runs_) {
-    if (run.priority == 0)
-      held += run.resources.accelerators;
-  }
-  urgent_demand_ = static_cast<double>(held);
-  for (const ReadyStep& entry : ready) {
-    if (entry.job->policy.priority == 0) {
-      urgent_demand_ += static_cast<double>(entry.waiting.size() *
-                                            entry.spec->task.accelerators);
-    }
-  }
-  const std::chrono::duration<double, std::milli> passed =
-      now.instant - urgent_peak_at_;
-  urgent_peak_ =
-      std::max(urgent_demand_,
-               urgent_peak_ * std::exp2(-passed.count() / kReserveHalfLifeMs));
-  urgent_peak_at_ = now.instant;
-}
-
-std::uint64_t Dispatcher::UrgentReserve(
-    const std::vector<WorkerRoom>& rooms) const {
-  if (!IsBusy(rooms))
-    return 0;
-  std::uint64_t capacity = 0;
-  for (const WorkerRoom& room : rooms)
-    capacity += room.capacity.accelerators;
-  const double reserve =
-      std::min(urgent_peak_ - urgent_demand_,
-               kLargestReserve * static_cast<double>(capacity));
-  return static_cast<std::uint64_t>(std::max(reserve, 0.0));
-}
-
-bool Dispatcher::IsBusy(const std::vector<WorkerRoom>& rooms) {
-  std::uint64_t free = 0;
-  std::uint64_t capacity = 0;
-  for (const WorkerRoom& room : rooms) {
-    free += room.free.accelerators;
-    capacity += room.capacity.accelerators;
-  }
-  return static_cast<double>(capacity - free) >
-         kBusyShare * static_cast<double>(capacity);
-}
-
-// Holds a rack for a gang that has no place, so that shorter or less urgent
-// tasks do not keep it busy for ever; what ends before may still use it.
-void Dispatcher::Reserve(const ReadyStep& ready,
-                         std::vector<WorkerRoom>& rooms,
-                         const Now& now) const {
-  const auto reservation =
-      ReserveRack(rooms, Occupants(rooms, now), RequestOf(ready));
-  if (!reservation)
-    return;
-  for (const std::size_t room : reservation->rooms)
-    rooms[room].usable_ms = reservation->wait_ms;
-}
-
 bool Dispatcher::PlaceStep(const ReadyStep& ready,
                            std::vector<WorkerRoom>& rooms,
                            std::vector<Placement>& placements,
@@ -422,176 +293,4 @@
   }
 }
 
-// Accelerators that the open jobs of priority 0 of each customer need.
-std::map<base::CustomerId, std::uint64_t> Dispatcher::GuaranteedUse() const {
-  std::map<base::CustomerId, std::uint64_t> use;
-  for (const base::JobId& id : store_.open_jobs()) {
-    const JobRecord& job = *store_.FindJob(id);
-    if (job.policy.priority != 0)
-      continue;
-    std::uint64_t most = 0;
-    for (const StepSpec& step : job.spec.steps)
-      most += step.count * step.task.accelerators;
-    use[job.customer] += most;
-  }
-  return use;
-}
-
-// Frees room for a job that is within its customer's guarantee by stopping
-// borrowed work. Whole gangs are stopped; those that lose least go first.
-bool Dispatcher::Preempt(const ReadyStep& ready,
-                         std::vector<WorkerRoom>& rooms,
-                         const Now& now) {
-  const Customer* customer =
-      store_.configuration().FindCustomer(ready.job->customer);
-  const auto use = GuaranteedUse();
-  if (customer == nullptr || ready.step.step != 0 ||
-      use.at(ready.job->customer) > customer->guaranteed_accelerators) {
-    return false;
-  }
-  struct Victim {
-    StepRef step;
-    double lost = 0;
-    std::vector<RunKey> runs;
-  };
-  std::map<StepRef, Victim> gangs;
-  std::vector<Victim> victims;
-  for (const auto& [key, run] : runs_) {
-    if (run.priority == 0 || FindWorker(run.worker) == nullptr)
-      continue;
-    // Room that is being freed already counts at no cost.
-    const bool ending =
-        run.phase == RunPhase::kStopping || run.phase == RunPhase::kEnding;
-    const std::chrono::duration<double> ran =
-        run.running_since ? now.instant - *run.running_since
-                          : base::Duration(0);
-    constexpr double kAcceleratorCores = 8;
-    const double cores =
-        static_cast<double>(run.resources.cpu) / 1000 +
-        kAcceleratorCores * static_cast<double>(run.resources.accelerators);
-    const double lost =
-        ending ? 0 : cores * (run.checkpointing ? 0.5 : ran.count()) + 1;
-    Victim& victim =
-        run.gang ? gangs[StepOf(key.task)] : victims.emplace_back();
-    victim.step = StepOf(key.task);
-    victim.lost += lost;
-    victim.runs.push_back(key);
-  }
-  for (auto& [step, victim] : gangs)
-    victims.push_back(std::move(victim));
-  std::sort(victims.begin(), victims.end(),
-            [](const Victim& a, const Victim& b) {
-              return std::tie(a.lost, a.step) < std::tie(b.lost, b.step);
-            });
-  const PlanRequest request = RequestOf(ready);
-  const std::vector<std::uint32_t> used = UsedRooms(rooms, ready.step);
-  std::vector<WorkerRoom> freed = rooms;
-  std::map<WorkerLife, std::size_t> position;
-  for (std::size_t i = 0; i < rooms.size(); ++i)
-    position[rooms[i].life] = i;
-  const RackRule rule = RuleFor(ready, rooms, now);
-  std::optional<Plan> plan;
-  std::size_t taken = 0;
-  while (!plan && taken < victims.size()) {
-    for (const RunKey& key : victims[taken].runs) {
-      const Run& run = runs_.at(key);
-      const auto place = position.find(run.worker);
-      if (place != position.end())
-        freed[place->second].free += run.resources;
-    }
-    ++taken;
-    plan = PlanAll(freed, used, request, rule);
-  }
-  if (!plan)
-    return false;
-  std::set<WorkerLife> needed;
-  for (const std::size_t room : plan->rooms)
-    needed.insert(rooms[room].life);
-  for (std::size_t i = 0; i < taken; ++i) {
-    const bool helps = std::any_of(
-        victims[i].runs.begin(), victims[i].runs.end(), [&](const RunKey& key) {
-          return needed.contains(runs_.at(key).worker);
-        });
-    if (!helps)
-      continue;
-    for (const RunKey& key : victims[i].runs) {
-      Run& run = runs_.at(key);
-      if (run.phase == RunPhase::kStarting || run.phase == RunPhase::kRunning)
-        RequestStop(key, run, "preempted_for " + ready.step.job.value(), now);
-    }
-  }
-  // What is freed must not go to others before the stops have taken effect.
-  for (const std::size_t room : plan->rooms)
-    rooms[room].free -=
-        Resources{.cpu = ready.spec->task.cpu,
-                  .memory_mb = ready.spec->task.memory_mb,
-                  .accelerators = ready.spec->task.accelerators};
-  return true;
-}
-
-// Accelerator milliseconds that open jobs of this priority or a more urgent one
-// still need.
-double Dispatcher::WorkAhead(std::uint32_t priority, const Now& now) const {
-  double ahead = 0;
-  for (const auto& [key, run] : runs_) {
-    if (run.priority <= priority) {
-      ahead += static_cast<double>(run.resources.accelerators) *
-               RemainingMs(key, run, now);
-    }
-  }
-  for (const base::JobId& id : store_.open_jobs()) {
-    const JobRecord& job = *store_.FindJob(id);
-    if (job.policy.priority > priority || job.spec.repeat_count > 0)
-      continue;
-    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-      const StepSpec& spec = job.spec.steps[step];
-      const std::vector<TaskProgress>* tasks = job.FindProgress(0, step);
-      const auto waiting =
-          tasks == nullptr
-              ? spec.count
-              : std::count_if(tasks->begin(), tasks->end(),
-                              [](const TaskProgress& task) {
-                                return task.phase == TaskPhase::kWaiting;
-                              });
-      ahead += static_cast<double>(waiting) *
-               static_cast<double>(spec.task.accelerators) * WorkOf(job, step);
-    }
-  }
-  return ahead;
-}
-
-// Load pattern: more work than the fleet can do before it is worth nothing. A
-// caller that is told at once can turn elsewhere; one that waits cannot.
-std::optional<base::Duration> Dispatcher::RefusalOf(const QueuePolicy& policy,
-                                                    const std::string& queue,
-                                                    const JobRecord& job,
-                                                    const Now& now) const {
-  const std::vector<WorkerRoom> rooms = Rooms(now);
-  std::uint64_t capacity = 0;
-  for (const WorkerRoom& room : rooms)
-    capacity += room.capacity.accelerators;
-  if (capacity == 0 || !IsBusy(rooms) || job.spec.repeat_count > 0 ||
-      policy.priority == 0) {
-    return std::nullopt;
-  }
-  const double chain = ChainOf(queue, job.spec);
-  const double end_ms =
-      chain + WorkAhead(policy.priority, now) /
-                  (kUsableShare * static_cast<double>(capacity));
-  const double worthless_ms =
-      kWorthlessAfter * (policy.stretch * chain + policy.completion_target_ms);
-  if (end_ms <= worthless_ms)
-    return std::nullopt;
-  // Callers that were refused together come back apart.
-  const double spread =
-      1 +
-      kReturnSpread *
-          static_cast<double>(std::hash<std::string>()(job.id.value()) % 1000) /
-          1000;
-  const auto excess = std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double, std::milli>(end_ms - worthless_ms));
-  return std::chrono::duration_cast<base::Duration>(
-      std::clamp(excess, kSoonestReturn, kLatestReturn) * spread);
-}
-
 }  // namespace wigeonstair::jobs
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -211,22 +211,33 @@
                                    .fencing_token = fencing_token_});
 }
 
-void Dispatcher::OnStartAnswer(const StartAction& call,
-                               const CallAnswer& answer,
-                               const Now& now) {
-  const auto found = runs_.find(call.run);
-  if (!leads() || found == runs_.end() || found->second.worker != call.worker ||
-      call.fencing_token != fencing_token_) {
-    return;
+Dispatcher::Run* Dispatcher::FindAnswered(const RunKey& key,
+                                          const WorkerLife& life,
+                                          std::uint64_t fencing_token,
+                                          const CallAnswer& answer,
+                                          const Now& now) {
+  const auto found = runs_.find(key);
+  Worker* worker = FindWorker(life);
+  if (!leads() || fencing_token != fencing_token_ || worker == nullptr ||
+      found == runs_.end() || found->second.worker != life) {
+    return nullptr;
   }
-  Run& run = found->second;
-  Worker* worker = FindWorker(call.worker);
-  if (worker == nullptr)
-    return;
   if (answer.clock_ms) {
     NoteClock(*worker, *answer.clock_ms, now);
     NoteAnswer(*worker, now);
   }
+  return &found->second;
+}
+
+void Dispatcher::OnStartAnswer(const StartAction& call,
+                               const CallAnswer& answer,
+                               const Now& now) {
+  Run* answered =
+      FindAnswered(call.run, call.worker, call.fencing_token, answer, now);
+  if (answered == nullptr)
+    return;
+  Run& run = *answered;
+  Worker* worker = FindWorker(call.worker);
   // A stop that was sent meanwhile decides.
   if (run.phase != RunPhase::kStarting)
     return;
@@ -282,19 +293,12 @@
 void Dispatcher::OnStopAnswer(const StopAction& call,
                               const CallAnswer& answer,
                               const Now& now) {
-  const auto found = runs_.find(call.run);
-  if (!leads() || found == runs_.end() || found->second.worker != call.worker ||
-      call.fencing_token != fencing_token_) {
+  Run* answered =
+      FindAnswered(call.run, call.worker, call.fencing_token, answer, now);
+  if (answered == nullptr)
     return;
-  }
-  Run& run = found->second;
+  Run& run = *answered;
   Worker* worker = FindWorker(call.worker);
-  if (worker == nullptr)
-    return;
-  if (answer.clock_ms) {
-    NoteClock(*worker, *answer.clock_ms, now);
-    NoteAnswer(*worker, now);
-  }
   if (run.phase != RunPhase::kStopping)
     return;
   run.call_in_flight = false;
