Let urgent gangs that come together preempt side by side

Cause: in a round, an urgent gang of a shape that was refused before was passed over, so it preempted nothing until the first one ran, and it counted on room that the first had freed. With stops of 0.4 to 0.9 s a burst could miss its 2.9 s. Change: an urgent gang always gets its preemption, and claims its own victims within a round. The fake fleet's stops take 400 ms, which shows the fault. Ruled out: the limit of reservations, which urgent gangs do not use.

--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -29,8 +29,6 @@
   base::Duration longest_lease = std::chrono::seconds(6);
   // The members of a gang must be present within this time of the first.
   base::Duration gang_wait = std::chrono::seconds(3);
-  // A stopped task has ended after this time.
-  base::Duration stop_limit = std::chrono::milliseconds(900);
   // How much longer tasks take away from their rack.
   double remote_factor = 3;
   // A start may be sent so long before the due time of its occurrence.
@@ -337,6 +335,8 @@
   std::uint64_t last_proposal_ = 0;
   RunTimes run_times_;
   std::size_t waiting_tasks_ = 0;
+  // Runs whose room an urgent job of the present round counts on.
+  std::set<RunKey> claimed_;
   // When the next round of placement may begin.
   base::Instant next_placement_at_{};
   // The demand of urgent jobs and its highest recent value, in accelerators.
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -198,6 +198,7 @@
   std::vector<WorkerRoom> rooms = Rooms(now);
   std::vector<Placement> placements;
   FollowUrgentDemand(ready, now);
+  claimed_.clear();
   bool kept = false;
   int reservations = 0;
   std::map<Shape, std::uint32_t> refused;
@@ -207,14 +208,17 @@
       KeepForUrgent(rooms, UrgentReserve(rooms));
     const Shape shape = ShapeOf(entry, RuleFor(entry, rooms, now));
     const auto known = refused.find(shape);
-    if (known != refused.end() && entry.waiting.size() >= known->second)
+    const bool hopeless =
+        known != refused.end() && entry.waiting.size() >= known->second;
+    if (hopeless && !urgent)
       continue;
-    if (PlaceStep(entry, rooms, placements, now))
+    if (!hopeless && PlaceStep(entry, rooms, placements, now))
       continue;
-    if (entry.spec->gang && entry.spec->max_per_worker == 0)
-      refused[shape] = static_cast<std::uint32_t>(entry.waiting.size());
-    else if (!entry.spec->gang && entry.spec->max_per_worker == 0)
-      refused[shape] = 1;
+    if (!hopeless && entry.spec->max_per_worker == 0) {
+      refused[shape] = entry.spec->gang
+                           ? static_cast<std::uint32_t>(entry.waiting.size())
+                           : 1;
+    }
     if (urgent && Preempt(entry, rooms, now))
       continue;
     if (entry.spec->gang && urgency(entry) != Urgency::kWorthless &&
--- a/libraries/jobs/dispatcher_preempt.cc
+++ b/libraries/jobs/dispatcher_preempt.cc
@@ -24,7 +24,8 @@
 }
 
 // What may be stopped for urgent work, whole gangs together; those that lose
-// least come first. Room that is being freed already counts at no cost.
+// least come first. Room that is being freed already counts at no cost, unless
+// another job of this round counts on it.
 std::vector<Dispatcher::Victim> Dispatcher::Victims(const Now& now) const {
   // An accelerator is worth so many cores, as the platform counts work.
   constexpr double kAcceleratorCores = 8;
@@ -34,8 +35,10 @@
   std::map<StepRef, Victim> gangs;
   std::vector<Victim> victims;
   for (const auto& [key, run] : runs_) {
-    if (run.priority == 0 || FindWorker(run.worker) == nullptr)
+    if (run.priority == 0 || claimed_.contains(key) ||
+        FindWorker(run.worker) == nullptr) {
       continue;
+    }
     const bool ending =
         run.phase == RunPhase::kStopping || run.phase == RunPhase::kEnding;
     const std::chrono::duration<double> ran =
@@ -120,6 +123,7 @@
   if (!helps)
     return;
   for (const RunKey& key : victim.runs) {
+    claimed_.insert(key);
     Run& run = runs_.at(key);
     if (run.phase == RunPhase::kStarting || run.phase == RunPhase::kRunning)
       RequestStop(key, run, "preempted_for " + job.value(), now);
--- a/tests/jobs/dispatcher_load_test.cc
+++ b/tests/jobs/dispatcher_load_test.cc
@@ -18,6 +18,20 @@
   CHECK(simulation.decisions().at("stop preempted_for") >= 32);
 }
 
+// Guards against a second claim that counts on the room of the first one.
+TEST_CASE("guaranteed gangs that come together all preempt in time") {
+  DispatchSimulation simulation({});
+  simulation.Submit("low", {Step(96, 1, 60'000)}, 2);
+  simulation.RunFor(2000);
+  for (int i = 0; i < 4; ++i)
+    simulation.Submit("urgent" + std::to_string(i), {Gang(2, 8, 1500)}, 0);
+  simulation.RunFor(2900);
+  for (int i = 0; i < 4; ++i) {
+    CHECK(simulation.StateOf("urgent" + std::to_string(i)) ==
+          JobState::kCompleted);
+  }
+}
+
 // Load pattern: small tasks fill each gap as it opens, and a gang that needs
 // whole workers never finds them.
 TEST_CASE("small tasks do not starve a gang of whole workers") {
--- a/tests/jobs/fake_fleet.cc
+++ b/tests/jobs/fake_fleet.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::uint64_t kGangWaitMs = 3000;
+// A stopped task writes its checkpoint first.
+constexpr std::uint64_t kStopMs = 400;
 constexpr std::uint64_t kStepMs = 10;
 
 std::string Name(const RunKey& run) {
@@ -133,8 +135,9 @@
   worker->fence = call.fencing_token;
   std::uint32_t& closed = worker->closed_attempts[call.run.task];
   closed = std::max(closed, call.run.attempt);
-  if (worker->runs.contains(call.run))
-    End(*worker, call.run, ListedOutcome::kStopped);
+  const auto run = worker->runs.find(call.run);
+  if (run != worker->runs.end() && run->second.stops_at_ms == 0)
+    run->second.stops_at_ms = now_ms_ + kStopMs;
   return {.result = CallResult::kAccepted, .clock_ms = ClockOf(*worker)};
 }
 
@@ -227,6 +230,10 @@
         over.emplace_back(key, ListedOutcome::kLapsed);
         continue;
       }
+      if (run.stops_at_ms != 0 && now_ms_ >= run.stops_at_ms) {
+        over.emplace_back(key, ListedOutcome::kStopped);
+        continue;
+      }
       if (worker.hangs || (run.gang && GangHangs(StepOf(key.task))))
         continue;
       if (run.gang && !GangPresent(StepOf(key.task), key.attempt)) {
--- a/tests/jobs/fake_fleet.h
+++ b/tests/jobs/fake_fleet.h
@@ -24,6 +24,8 @@
     double left_ms = 0;
     double whole_ms = 0;
     bool gang = false;
+    // When a stop takes effect; 0 when it was not told to stop.
+    std::uint64_t stops_at_ms = 0;
   };
   struct Worker {
     WorkerDescription description;
