Let a host that lost its disk ask the leader for its place

Cause: a wiped host asks only the seeds of its settings and the members of its empty log. Change: the host remembers who writes to its former life, which only a leader does, and asks it as well. Measured: 'a host without its folder asks the leader that writes to it' failed before and passes; the three consensus test programs pass (release build).

--- a/libraries/consensus/replica.cc
+++ b/libraries/consensus/replica.cc
@@ -54,6 +54,7 @@
   // Meant for a former life of this folder.
   if (message.to_incarnation != kAnyIncarnation &&
       message.to_incarnation != hard_state_.incarnation) {
+    stranger_ = message.from;
     return;
   }
   std::visit([&](const auto& payload) { HandlePayload(message, payload); },
--- a/libraries/consensus/replica.h
+++ b/libraries/consensus/replica.h
@@ -228,6 +228,9 @@
   base::Instant next_question_at_;
   // The incarnation was drawn by this process and is not on disk yet.
   bool persist_incarnation_ = false;
+  // Who wrote to a former life of this host. The hosts that it was told to ask
+  // may all be followers, and only the leader can give it a place.
+  base::HostId stranger_;
   // The incarnation under which the leader lists this host.
   Incarnation listed_incarnation_ = kFirstIncarnation;
 };
--- a/libraries/consensus/replica_formation.cc
+++ b/libraries/consensus/replica_formation.cc
@@ -136,6 +136,8 @@
     if (std::none_of(known.begin(), known.end(), same))
       known.push_back(member);
   }
+  if (!stranger_.empty())
+    known.push_back({.host = stranger_, .address = {}});
   for (Member& member : known) {
     if (member.host == options_.host)
       continue;
