Keep the room that an urgent gang claimed until its victims have ended

Cause: Preempt chose victims anew in each round.

Ruled out: a slow leader (the rounds were 0.1 to 0.3 s apart), workers that do not answer (every stop ended).

Change: a claim remembers the workers of the plan and their room is promised to the step until it has a place, at most 1.4 s; only as many victims are stopped as the workers of the plan need; the number of victims is found by bisection, not one plan a victim; the use of guarantees is counted once a round.

--- a/libraries/jobs/dispatcher.cc
+++ b/libraries/jobs/dispatcher.cc
@@ -36,6 +36,7 @@
   workers_.clear();
   runs_.clear();
   pending_.clear();
+  claims_.clear();
   actions_.clear();
 }
 
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -208,6 +208,15 @@
     std::vector<RunKey> runs;
   };
 
+  // Room that an urgent step gets once its victims have ended.
+  struct Claim {
+    // One for each task.
+    std::vector<WorkerLife> workers;
+    Resources task;
+    // When the step looks for other room.
+    base::Instant until;
+  };
+
   // dispatcher.cc
   void Propose(Command command, std::optional<Pending> pending);
   void Decide(std::string_view kind,
@@ -307,10 +316,19 @@
               std::vector<Placement>& placements,
               const Now& now);
   std::vector<Victim> Victims(const Now& now) const;
-  void StopVictim(const Victim& victim,
-                  const std::set<WorkerLife>& workers,
-                  const base::JobId& job,
-                  const Now& now);
+  void StopVictims(const std::vector<Victim>& victims,
+                   const std::vector<WorkerRoom>& rooms,
+                   const Plan& plan,
+                   const ReadyStep& ready,
+                   const Now& now);
+  void PromiseClaims(const std::vector<ReadyStep>& ready,
+                     std::vector<WorkerRoom>& rooms,
+                     const Now& now);
+  bool PlaceClaimed(const ReadyStep& ready,
+                    const Claim& claim,
+                    std::vector<WorkerRoom>& rooms,
+                    std::vector<Placement>& placements,
+                    const Now& now);
   bool IsGuaranteed(const ReadyStep& ready) const;
   bool Preempt(const ReadyStep& ready,
                std::vector<WorkerRoom>& rooms,
@@ -335,8 +353,10 @@
   std::uint64_t last_proposal_ = 0;
   RunTimes run_times_;
   std::size_t waiting_tasks_ = 0;
-  // Runs whose room an urgent job of the present round counts on.
-  std::set<RunKey> claimed_;
+  std::map<StepRef, Claim> claims_;
+  // Of the present round: accelerators that the open jobs of priority 0 of each
+  // customer need.
+  std::map<base::CustomerId, std::uint64_t> guaranteed_use_;
   // When the next round of placement may begin.
   base::Instant next_placement_at_{};
   // The demand of urgent jobs and its highest recent value, in accelerators.
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -198,7 +198,8 @@
   std::vector<WorkerRoom> rooms = Rooms(now);
   std::vector<Placement> placements;
   FollowUrgentDemand(ready, now);
-  claimed_.clear();
+  guaranteed_use_ = GuaranteedUse();
+  PromiseClaims(ready, rooms, now);
   bool kept = false;
   int reservations = 0;
   std::map<Shape, std::uint32_t> refused;
@@ -206,6 +207,10 @@
     const bool urgent = entry.job->policy.priority == 0;
     if (!urgent && !std::exchange(kept, true))
       KeepForUrgent(rooms, UrgentReserve(rooms));
+    if (const auto claim = claims_.find(entry.step); claim != claims_.end()) {
+      PlaceClaimed(entry, Claim(claim->second), rooms, placements, now);
+      continue;
+    }
     const Shape shape = ShapeOf(entry, RuleFor(entry, rooms, now));
     const auto known = refused.find(shape);
     const bool hopeless =
--- a/libraries/jobs/dispatcher_preempt.cc
+++ b/libraries/jobs/dispatcher_preempt.cc
@@ -24,8 +24,7 @@
 }
 
 // What may be stopped for urgent work, whole gangs together; those that lose
-// least come first. Room that is being freed already counts at no cost, unless
-// another job of this round counts on it.
+// least come first. Room that is being freed already counts at no cost.
 std::vector<Dispatcher::Victim> Dispatcher::Victims(const Now& now) const {
   // An accelerator is worth so many cores, as the platform counts work.
   constexpr double kAcceleratorCores = 8;
@@ -35,10 +34,8 @@
   std::map<StepRef, Victim> gangs;
   std::vector<Victim> victims;
   for (const auto& [key, run] : runs_) {
-    if (run.priority == 0 || claimed_.contains(key) ||
-        FindWorker(run.worker) == nullptr) {
+    if (run.priority == 0 || FindWorker(run.worker) == nullptr)
       continue;
-    }
     const bool ending =
         run.phase == RunPhase::kStopping || run.phase == RunPhase::kEnding;
     const std::chrono::duration<double> ran =
@@ -67,12 +64,49 @@
   const Customer* customer =
       store_.configuration().FindCustomer(ready.job->customer);
   return customer != nullptr && ready.step.step == 0 &&
-         GuaranteedUse().at(ready.job->customer) <=
+         guaranteed_use_.at(ready.job->customer) <=
              customer->guaranteed_accelerators;
 }
 
+namespace {
+
+// How long the victims of a claim may take to end: a stopped task works on for
+// up to 0.9 s, and the stop and the list with its end take two calls.
+constexpr base::Duration kClaimPatience = std::chrono::milliseconds(1400);
+
+// The first number from 1 to `count` for which `enough` holds, when it holds
+// for all numbers after that; empty when it holds for none.
+template <typename Enough>
+std::optional<std::size_t> FirstEnough(std::size_t count, Enough enough) {
+  if (count == 0 || !enough(count))
+    return std::nullopt;
+  std::size_t low = 1;
+  std::size_t high = count;
+  while (low < high) {
+    const std::size_t middle = low + (high - low) / 2;
+    if (enough(middle))
+      high = middle;
+    else
+      low = middle + 1;
+  }
+  return low;
+}
+
+std::map<WorkerLife, std::size_t> PositionsOf(
+    const std::vector<WorkerRoom>& rooms) {
+  std::map<WorkerLife, std::size_t> positions;
+  for (std::size_t i = 0; i < rooms.size(); ++i)
+    positions[rooms[i].life] = i;
+  return positions;
+}
+
+}  // namespace
+
 // Frees room for a job that is within its customer's guarantee by stopping
-// borrowed work.
+// borrowed work, and claims that room until the victims have ended. Load
+// pattern: urgent gangs that follow each other on a fleet full of short tasks;
+// a choice that was made anew in each round stopped several times the work that
+// was needed, and came too late.
 bool Dispatcher::Preempt(const ReadyStep& ready,
                          std::vector<WorkerRoom>& rooms,
                          const Now& now) {
@@ -82,52 +116,119 @@
   const PlanRequest request = RequestOf(ready);
   const std::vector<std::uint32_t> used = UsedRooms(rooms, ready.step);
   const RackRule rule = RuleFor(ready, rooms, now);
-  std::vector<WorkerRoom> freed = rooms;
-  std::map<WorkerLife, std::size_t> position;
-  for (std::size_t i = 0; i < rooms.size(); ++i)
-    position[rooms[i].life] = i;
-  std::optional<Plan> plan;
-  std::size_t taken = 0;
-  while (!plan && taken < victims.size()) {
-    for (const RunKey& key : victims[taken].runs) {
-      const Run& run = runs_.at(key);
-      const auto place = position.find(run.worker);
-      if (place != position.end())
-        freed[place->second].free += run.resources;
+  const std::map<WorkerLife, std::size_t> positions = PositionsOf(rooms);
+  const auto plan_without = [&](std::size_t count) {
+    std::vector<WorkerRoom> freed = rooms;
+    for (std::size_t i = 0; i < count; ++i) {
+      for (const RunKey& key : victims[i].runs) {
+        const Run& run = runs_.at(key);
+        const auto room = positions.find(run.worker);
+        if (room != positions.end())
+          freed[room->second].free += run.resources;
+      }
     }
-    ++taken;
-    plan = PlanAll(freed, used, request, rule);
-  }
-  if (!plan)
+    return PlanAll(freed, used, request, rule);
+  };
+  const std::optional<std::size_t> count = FirstEnough(
+      victims.size(),
+      [&](std::size_t tried) { return plan_without(tried).has_value(); });
+  if (!count)
     return false;
-  std::set<WorkerLife> needed;
-  for (const std::size_t room : plan->rooms)
-    needed.insert(rooms[room].life);
-  for (std::size_t i = 0; i < taken; ++i)
-    StopVictim(victims[i], needed, ready.step.job, now);
-  // What is freed must not go to others before the stops have taken effect.
-  for (const std::size_t room : plan->rooms)
-    rooms[room].free -= ready.spec->task;
+  const Plan plan = *plan_without(*count);
+  StopVictims(
+      {victims.begin(), victims.begin() + static_cast<std::ptrdiff_t>(*count)},
+      rooms, plan, ready, now);
+  Claim claim{.task = ready.spec->task, .until = now.instant + kClaimPatience};
+  for (const std::size_t room : plan.rooms) {
+    claim.workers.push_back(rooms[room].life);
+    rooms[room].promised += ready.spec->task;
+  }
+  claims_.insert_or_assign(ready.step, std::move(claim));
   return true;
 }
 
-// Stops a victim that holds room on one of the workers.
-void Dispatcher::StopVictim(const Victim& victim,
-                            const std::set<WorkerLife>& workers,
-                            const base::JobId& job,
-                            const Now& now) {
-  const bool helps = std::any_of(
-      victim.runs.begin(), victim.runs.end(), [&](const RunKey& key) {
-        return workers.contains(runs_.at(key).worker);
-      });
-  if (!helps)
+// Stops victims, those that lose least first, until each worker of the plan has
+// room for its tasks.
+void Dispatcher::StopVictims(const std::vector<Victim>& victims,
+                             const std::vector<WorkerRoom>& rooms,
+                             const Plan& plan,
+                             const ReadyStep& ready,
+                             const Now& now) {
+  struct Need {
+    WorkerRoom room;
+    Resources demand;
+    bool met() const { return room.Usable().Fits(demand); }
+  };
+  std::map<WorkerLife, Need> needs;
+  for (const std::size_t i : plan.rooms) {
+    Need& need =
+        needs.try_emplace(rooms[i].life, Need{.room = rooms[i]}).first->second;
+    need.demand += ready.spec->task;
+  }
+  const auto need_of = [&](const RunKey& key) {
+    return needs.find(runs_.at(key).worker);
+  };
+  for (const Victim& victim : victims) {
+    const bool helps = std::any_of(
+        victim.runs.begin(), victim.runs.end(), [&](const RunKey& key) {
+          const auto need = need_of(key);
+          return need != needs.end() && !need->second.met();
+        });
+    if (!helps)
+      continue;
+    for (const RunKey& key : victim.runs) {
+      Run& run = runs_.at(key);
+      const auto need = need_of(key);
+      if (need != needs.end())
+        need->second.room.free += run.resources;
+      if (run.phase == RunPhase::kStarting || run.phase == RunPhase::kRunning) {
+        RequestStop(key, run, "preempted_for " + ready.step.job.value(), now);
+      }
+    }
+  }
+}
+
+// Gives up claims whose step has a place, whose worker cannot take tasks any
+// more, or whose victims did not end in time; promises the room of the others.
+void Dispatcher::PromiseClaims(const std::vector<ReadyStep>& ready,
+                               std::vector<WorkerRoom>& rooms,
+                               const Now& now) {
+  if (claims_.empty())
     return;
-  for (const RunKey& key : victim.runs) {
-    claimed_.insert(key);
-    Run& run = runs_.at(key);
-    if (run.phase == RunPhase::kStarting || run.phase == RunPhase::kRunning)
-      RequestStop(key, run, "preempted_for " + job.value(), now);
+  std::set<StepRef> waiting;
+  for (const ReadyStep& entry : ready)
+    waiting.insert(entry.step);
+  const std::map<WorkerLife, std::size_t> positions = PositionsOf(rooms);
+  std::erase_if(claims_, [&](const auto& entry) {
+    const auto& [step, claim] = entry;
+    return now.instant > claim.until || !waiting.contains(step) ||
+           !std::all_of(claim.workers.begin(), claim.workers.end(),
+                        [&](const WorkerLife& life) {
+                          return positions.contains(life);
+                        });
+  });
+  for (const auto& [step, claim] : claims_) {
+    for (const WorkerLife& life : claim.workers)
+      rooms[positions.at(life)].promised += claim.task;
+  }
+}
+
+// Places a step on the room that it claimed, or on any other.
+bool Dispatcher::PlaceClaimed(const ReadyStep& ready,
+                              const Claim& claim,
+                              std::vector<WorkerRoom>& rooms,
+                              std::vector<Placement>& placements,
+                              const Now& now) {
+  const std::map<WorkerLife, std::size_t> positions = PositionsOf(rooms);
+  for (const WorkerLife& life : claim.workers)
+    rooms[positions.at(life)].promised -= claim.task;
+  if (PlaceStep(ready, rooms, placements, now)) {
+    claims_.erase(ready.step);
+    return true;
   }
+  for (const WorkerLife& life : claim.workers)
+    rooms[positions.at(life)].promised += claim.task;
+  return false;
 }
 
 }  // namespace wigeonstair::jobs
--- a/libraries/jobs/planner.cc
+++ b/libraries/jobs/planner.cc
@@ -28,17 +28,16 @@
     const bool open = (request.urgent || !rooms[i].urgent_only) &&
                       request.work_ms <= rooms[i].usable_ms;
     if (open && Accepts(rooms[i], request) &&
-        Fitting(rooms[i].free, *request.step, used[i]) > 0) {
+        Fitting(rooms[i].Usable(), *request.step, used[i]) > 0) {
       found.push_back(i);
     }
   }
   const bool needs_accelerator = request.step->task.accelerators > 0;
   const auto key = [&](std::size_t i) {
-    const WorkerRoom& room = rooms[i];
+    const Resources free = rooms[i].Usable();
     // Tasks without accelerators keep away from workers that have many free.
-    return std::tuple(room.penalty, room.free.accelerators,
-                      needs_accelerator ? room.free.cpu : 0,
-                      room.free.memory_mb, i);
+    return std::tuple(rooms[i].penalty, free.accelerators,
+                      needs_accelerator ? free.cpu : 0, free.memory_mb, i);
   };
   std::sort(found.begin(), found.end(),
             [&](std::size_t a, std::size_t b) { return key(a) < key(b); });
@@ -52,7 +51,8 @@
                               const std::vector<std::size_t>& candidates) {
   std::vector<std::size_t> taken;
   for (const std::size_t i : candidates) {
-    const std::uint32_t fits = Fitting(rooms[i].free, *request.step, used[i]);
+    const std::uint32_t fits =
+        Fitting(rooms[i].Usable(), *request.step, used[i]);
     for (std::uint32_t n = 0; n < fits && taken.size() < request.count; ++n)
       taken.push_back(i);
     if (taken.size() == request.count)
@@ -77,8 +77,8 @@
   for (const std::size_t i : candidates) {
     RackRoom& rack = racks[rooms[i].rack];
     rack.rooms.push_back(i);
-    rack.fits += Fitting(rooms[i].free, *request.step, used[i]);
-    rack.free_accelerators += rooms[i].free.accelerators;
+    rack.fits += Fitting(rooms[i].Usable(), *request.step, used[i]);
+    rack.free_accelerators += rooms[i].Usable().accelerators;
     rack.worst_penalty = std::max(rack.worst_penalty, rooms[i].penalty);
   }
   return racks;
@@ -142,8 +142,8 @@
     std::map<std::size_t, Resources> space;
     std::uint64_t fits = 0;
     for (const std::size_t i : members) {
-      space[i] = rooms[i].free;
-      fits += Fitting(rooms[i].free, *request.step, 0);
+      space[i] = rooms[i].Usable();
+      fits += Fitting(space[i], *request.step, 0);
     }
     double wait_ms = 0;
     for (const Occupant& occupant : occupants) {
@@ -166,13 +166,13 @@
 void KeepForUrgent(std::vector<WorkerRoom>& rooms, std::uint64_t accelerators) {
   std::map<base::RackId, std::uint64_t> free_in_rack;
   for (const WorkerRoom& room : rooms)
-    free_in_rack[room.rack] += room.free.accelerators;
+    free_in_rack[room.rack] += room.Usable().accelerators;
   std::vector<std::size_t> order(rooms.size());
   for (std::size_t i = 0; i < order.size(); ++i)
     order[i] = i;
   const auto key = [&](std::size_t i) {
     return std::tuple(free_in_rack[rooms[i].rack], rooms[i].rack,
-                      rooms[i].free.accelerators, i);
+                      rooms[i].Usable().accelerators, i);
   };
   std::sort(order.begin(), order.end(),
             [&](std::size_t a, std::size_t b) { return key(a) > key(b); });
@@ -180,10 +180,11 @@
   for (const std::size_t i : order) {
     if (kept >= accelerators)
       return;
-    if (rooms[i].penalty > 0 || rooms[i].free.accelerators == 0)
+    const std::uint64_t free = rooms[i].Usable().accelerators;
+    if (rooms[i].penalty > 0 || free == 0)
       continue;
     rooms[i].urgent_only = true;
-    kept += rooms[i].free.accelerators;
+    kept += free;
   }
 }
 
--- a/libraries/jobs/planner.h
+++ b/libraries/jobs/planner.h
@@ -20,6 +20,8 @@
   std::vector<std::string> labels;
   Resources capacity;
   Resources free;
+  // Promised to urgent gangs whose victims are being stopped.
+  Resources promised;
   // Lower is better; workers that fail or are slow come last.
   int penalty = 0;
   // Kept for urgent work that is expected.
@@ -27,6 +29,13 @@
   // A gang that waits gets the room after this time.
   double usable_ms = std::numeric_limits<double>::infinity();
 
+  // What may be given to others; counts from what the victims free as well.
+  Resources Usable() const {
+    Resources usable = free;
+    usable -= promised;
+    return usable;
+  }
+
   bool operator==(const WorkerRoom&) const = default;
 };
 
--- a/tests/jobs/dispatcher_load_test.cc
+++ b/tests/jobs/dispatcher_load_test.cc
@@ -32,6 +32,36 @@
   }
 }
 
+// Load pattern: urgent gangs follow each other on a fleet that is full of short
+// tasks, so the cheapest room is elsewhere in each round. Guards against a
+// claim that moves before the stops of the first choice have taken effect.
+TEST_CASE("urgent gangs stop no more work than the room they need") {
+  DispatchSimulation simulation({.workers = 96, .workers_per_rack = 12});
+  auto& random = simulation.random();
+  std::map<TaskRef, double> work;
+  simulation.fleet().work_ms = [&](const TaskRef& task) {
+    return work.try_emplace(task, 1000.0 + random.Below(9000)).first->second;
+  };
+  for (int i = 0; i < 60; ++i)
+    simulation.Submit("low" + std::to_string(i), {Step(39, 1, 5000)}, 2);
+  simulation.RunFor(6000);
+  constexpr int kGangs = 6;
+  for (int i = 0; i < kGangs; ++i) {
+    StepSpec gang = Gang(4, 2, 2000);
+    gang.rack_local = true;
+    simulation.Submit("urgent" + std::to_string(i), {gang}, 0);
+    simulation.RunFor(100);
+  }
+  simulation.RunFor(2900);
+  for (int i = 0; i < kGangs; ++i) {
+    const std::string id = "urgent" + std::to_string(i);
+    for (std::uint32_t task = 0; task < 4; ++task)
+      CHECK(work.contains({.job = base::JobId(id), .index = task}));
+  }
+  CHECK(simulation.decisions().at("stop preempted_for") <= kGangs * 4 * 2);
+  CHECK(simulation.fleet().faults().empty());
+}
+
 // Load pattern: small tasks fill each gap as it opens, and a gang that needs
 // whole workers never finds them.
 TEST_CASE("small tasks do not starve a gang of whole workers") {
