Let five schedulers vote where two losses must be borne

Cause: the group kept three voters everywhere.

An answer to a ping names the failure domain, learners of the emptiest domain vote first, and a domain that holds two voters more than one with a ready learner gives one up.

--- a/libraries/jobs/api.h
+++ b/libraries/jobs/api.h
@@ -173,10 +173,12 @@
   // Message addresses: the leader as far as it is known, and all members.
   std::string leader;
   std::vector<std::string> members;
+  // The failure domain of the scheduler that answers.
+  base::DomainId domain;
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: cereal's name.
-    archive(reply, leader, members);
+    archive(reply, leader, members, domain);
   }
 };
 
--- a/services/scheduler/member_controller.cc
+++ b/services/scheduler/member_controller.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace wigeonstair::scheduler {
 
@@ -16,55 +17,107 @@
 constexpr base::Duration kReplaceAfter = std::chrono::seconds(5);
 // A learner that comes back later asks for a place again.
 constexpr base::Duration kDropLearnerAfter = std::chrono::seconds(30);
-// Survives the loss of one voter.
-constexpr std::size_t kVoters = 3;
 
-base::Duration SilenceOf(const Silences& silences, const base::HostId& host) {
-  const auto found = silences.find(host);
-  return found == silences.end() ? base::Duration(0) : found->second;
-}
+// What the next repair is chosen from.
+struct Survey {
+  std::vector<const consensus::Member*> answering_voters;
+  std::vector<const consensus::Member*> silent_voters;
+  // Learners that could vote now.
+  std::vector<const consensus::Member*> ready_learners;
+  const consensus::Member* lost_learner = nullptr;
+  // A member that catches up is about to vote.
+  bool changing = false;
+};
 
-}  // namespace
+MemberView ViewOf(const MemberViews& views, const base::HostId& host) {
+  const auto found = views.find(host);
+  return found == views.end() ? MemberView{} : found->second;
+}
 
-std::optional<consensus::MemberChange> NextRepair(
-    const consensus::MemberList& members,
-    const base::HostId& self,
-    const Silences& silences) {
-  std::size_t voters = 0;
-  std::size_t answering_voters = 0;
-  const consensus::Member* silent_voter = nullptr;
-  const consensus::Member* answering_learner = nullptr;
-  const consensus::Member* lost_learner = nullptr;
+Survey Look(const consensus::MemberList& members,
+            const base::HostId& self,
+            const MemberViews& views) {
+  Survey survey;
   for (const consensus::Member& member : members) {
-    const base::Duration silence = SilenceOf(silences, member.host);
+    const base::Duration silence = ViewOf(views, member.host).silence;
     const bool answers = member.host == self || silence < kReplaceAfter;
-    // One change at a time: a member that catches up is about to vote.
     if (member.role == consensus::MemberRole::kCatchingUp && answers)
-      return std::nullopt;
+      survey.changing = true;
     if (member.role == consensus::MemberRole::kVoter) {
-      ++voters;
-      answering_voters += answers ? 1 : 0;
-      if (!answers)
-        silent_voter = &member;
+      (answers ? survey.answering_voters : survey.silent_voters)
+          .push_back(&member);
     } else if (answers && silence < kPingTimeout) {
-      answering_learner = &member;
+      survey.ready_learners.push_back(&member);
     } else if (silence > kDropLearnerAfter) {
-      lost_learner = &member;
+      survey.lost_learner = &member;
     }
   }
-  if (answering_voters < kVoters && answering_learner != nullptr) {
-    return consensus::MemberChange{
-        .kind = consensus::MemberChangeKind::kAddVoter,
-        .host = answering_learner->host,
-        .address = answering_learner->address};
-  }
-  const consensus::Member* dropped =
-      voters > kVoters && silent_voter != nullptr ? silent_voter : lost_learner;
-  if (dropped == nullptr)
+  return survey;
+}
+
+consensus::MemberChange Add(const consensus::Member& learner) {
+  return {.kind = consensus::MemberChangeKind::kAddVoter,
+          .host = learner.host,
+          .address = learner.address};
+}
+
+consensus::MemberChange Remove(const consensus::Member& member) {
+  return {.kind = consensus::MemberChangeKind::kRemove,
+          .host = member.host,
+          .address = {}};
+}
+
+}  // namespace
+
+std::size_t VotersFor(std::size_t losses) {
+  return 2 * losses + 1;
+}
+
+std::optional<consensus::MemberChange> NextRepair(
+    const consensus::MemberList& members,
+    const base::HostId& self,
+    const MemberViews& views,
+    std::size_t voters) {
+  const Survey survey = Look(members, self, views);
+  if (survey.changing)
     return std::nullopt;
-  return consensus::MemberChange{.kind = consensus::MemberChangeKind::kRemove,
-                                 .host = dropped->host,
-                                 .address = {}};
+  std::map<base::DomainId, std::size_t> crowd;
+  for (const consensus::Member* voter : survey.answering_voters)
+    ++crowd[ViewOf(views, voter->host).domain];
+  const auto crowd_of = [&](const consensus::Member* member) {
+    const auto found = crowd.find(ViewOf(views, member->host).domain);
+    return found == crowd.end() ? 0 : found->second;
+  };
+  const auto by_crowd = [&](const consensus::Member* a,
+                            const consensus::Member* b) {
+    return crowd_of(a) < crowd_of(b);
+  };
+  const auto learner = std::min_element(survey.ready_learners.begin(),
+                                        survey.ready_learners.end(), by_crowd);
+  const bool has_learner = learner != survey.ready_learners.end();
+  // The leader keeps its own place.
+  std::vector<const consensus::Member*> others = survey.answering_voters;
+  std::erase_if(others, [&](const consensus::Member* voter) {
+    return voter->host == self;
+  });
+  const auto crowded = std::max_element(others.begin(), others.end(), by_crowd);
+  const bool has_voter = crowded != others.end();
+  const std::size_t answering = survey.answering_voters.size();
+  if (answering < voters && has_learner)
+    return Add(**learner);
+  if (answering + survey.silent_voters.size() > voters) {
+    if (!survey.silent_voters.empty())
+      return Remove(*survey.silent_voters.back());
+    if (has_voter)
+      return Remove(**crowded);
+  }
+  const bool uneven = answering == voters && has_learner && has_voter &&
+                      crowd_of(*crowded) > crowd_of(*learner) + 1;
+  if (uneven)
+    return Add(**learner);
+  return survey.lost_learner == nullptr
+             ? std::nullopt
+             : std::optional(Remove(*survey.lost_learner));
 }
 
 MemberController::MemberController(MemberControllerOptions options)
@@ -85,7 +138,7 @@
     Repair(status.members);
     return;
   }
-  answered_.clear();
+  answers_.clear();
   // A replica that was removed while it was away still lists itself, but hears
   // no leader.
   constexpr base::Duration kUnheard = std::chrono::seconds(7);
@@ -109,30 +162,40 @@
   for (const consensus::Member& member : members) {
     if (member.host == options_.self)
       continue;
-    answered_.try_emplace(member.host, now);
+    answers_.try_emplace(member.host, Answer{.at = now});
     const auto channel = options_.channels->Open(member.address);
     if (!channel)
       continue;
     channel->Call(jobs::kCallMessage, jobs::EncodeCall(jobs::PingCall{}),
                   kPingTimeout,
                   [this, host = member.host](const net::CallOutcome& outcome) {
-                    if (!std::holds_alternative<std::string>(outcome))
-                      return;
-                    const auto known = answered_.find(host);
-                    if (known != answered_.end())
-                      known->second = base::MonotonicClock::now();
+                    NoteAnswer(host, outcome);
                   });
   }
 }
 
+void MemberController::NoteAnswer(const base::HostId& host,
+                                  const net::CallOutcome& outcome) {
+  const auto* body = std::get_if<std::string>(&outcome);
+  const auto known = answers_.find(host);
+  if (body == nullptr || known == answers_.end())
+    return;
+  const auto envelope =
+      base::Capture([&] { return jobs::DecodeEnvelope(*body); });
+  if (const auto* decoded = std::get_if<jobs::Envelope>(&envelope))
+    known->second = {.at = base::MonotonicClock::now(),
+                     .domain = decoded->domain};
+}
+
 void MemberController::Repair(const consensus::MemberList& members) {
   if (change_in_flight_)
     return;
   const base::Instant now = base::MonotonicClock::now();
-  Silences silences;
-  for (const auto& [host, at] : answered_)
-    silences[host] = now - at;
-  const auto change = NextRepair(members, options_.self, silences);
+  MemberViews views{{options_.self, {.domain = options_.domain}}};
+  for (const auto& [host, answer] : answers_)
+    views[host] = {.silence = now - answer.at, .domain = answer.domain};
+  const auto change = NextRepair(members, options_.self, views,
+                                 VotersFor(options_.tolerated_losses));
   if (!change)
     return;
   change_in_flight_ = true;
--- a/services/scheduler/member_controller.h
+++ b/services/scheduler/member_controller.h
@@ -13,16 +13,27 @@
 
 namespace wigeonstair::scheduler {
 
-// How long ago each member last answered.
-using Silences = std::map<base::HostId, base::Duration>;
+// What a leader knows of another member from its answers.
+struct MemberView {
+  // Since the last answer.
+  base::Duration silence{};
+  // Empty before the first answer.
+  base::DomainId domain;
+};
+using MemberViews = std::map<base::HostId, MemberView>;
+
+// Voters that a group needs to survive the loss of `losses` hosts at once with
+// their disks. The number is odd, so that a cut into halves leaves a majority.
+std::size_t VotersFor(std::size_t losses);
 
-// The next change that repairs the group, if one is needed: a group keeps
-// three voters, so that it survives the loss of one and a cut into halves. A
-// voter that is silent for long is replaced by a learner that answers. Pure.
+// The next change that repairs the group, if one is needed: a voter that is
+// silent for long is replaced by a learner that answers, and voters are spread
+// over the failure domains, so that the loss of a domain takes few. Pure.
 std::optional<consensus::MemberChange> NextRepair(
     const consensus::MemberList& members,
     const base::HostId& self,
-    const Silences& silences);
+    const MemberViews& views,
+    std::size_t voters);
 
 struct MemberControllerOptions {
   // All outlive the controller.
@@ -33,6 +44,9 @@
   base::HostId self;
   // The message address of this host.
   std::string address;
+  base::DomainId domain;
+  // Hosts that may be lost at once with their disks.
+  std::size_t tolerated_losses = 1;
 };
 
 // Asks for a place in the group while this host has none, and repairs the
@@ -47,10 +61,15 @@
   void Tick();
   void Join();
   void Watch(const consensus::MemberList& members);
+  void NoteAnswer(const base::HostId& host, const net::CallOutcome& outcome);
   void Repair(const consensus::MemberList& members);
 
   const MemberControllerOptions options_;
-  std::map<base::HostId, base::Instant> answered_;
+  struct Answer {
+    base::Instant at;
+    base::DomainId domain;
+  };
+  std::map<base::HostId, Answer> answers_;
   bool change_in_flight_ = false;
   bool join_in_flight_ = false;
 };
--- a/services/scheduler/scheduler_process.cc
+++ b/services/scheduler/scheduler_process.cc
@@ -143,7 +143,9 @@
                               .leader = &leader,
                               .replica = replica.get(),
                               .self = base::HostId(self),
-                              .address = self});
+                              .address = self,
+                              .domain = options.domain,
+                              .tolerated_losses = options.tolerated_losses});
   server = TRY(net::MessageServer::create(
       loop, {.address = options.messages,
              .cluster = options.cluster,
@@ -169,7 +171,8 @@
 
 jobs::Envelope SchedulerProcess::Implementation::Hint() const {
   const consensus::ReplicaStatus status = replica->status();
-  jobs::Envelope envelope{.leader = status.leader.value()};
+  jobs::Envelope envelope{.leader = status.leader.value(),
+                          .domain = options.domain};
   for (const consensus::Member& member : status.members)
     envelope.members.push_back(member.address);
   return envelope;
--- a/services/scheduler/scheduler_process.h
+++ b/services/scheduler/scheduler_process.h
@@ -27,6 +27,10 @@
   std::vector<std::string> seeds;
   GroupStart start = GroupStart::kExisting;
   std::string data_folder;
+  // The failure domain of this host.
+  base::DomainId domain;
+  // Hosts that may be lost at once with their disks; sets how many vote.
+  std::size_t tolerated_losses = 1;
   // Frames of other deployments are refused.
   std::string cluster;
   jobs::DispatcherOptions dispatcher;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -188,7 +188,7 @@
       R"({"NodeName":"core-1","Ip":"10.1.0.21","Zone":"z","ListenAddrs":)"
       R"({"Control":"10.1.0.21:8526"},"InternalPorts":[7000,7015],)"
       R"("Seeds":["10.1.0.21:8526","10.2.0.38:8526"],"Bootstrap":true,)"
-      R"("DataDir":"/data/x","HeartbeatMs":1500,"Bounds":{"GraceS":6,)"
+      R"("DataDir":"/data/x","HeartbeatMs":1500,"FaultTolerance":{"Machines":2},"Bounds":{"GraceS":6,)"
       R"("HoldMaxMs":10000,"GangWaitMs":3000,"StopMs":400,"RemoteFactor":3}})";
   const Settings settings = DecodeSettings(text).value();
   CHECK(settings.messages.ToString() == "10.1.0.21:7000");
@@ -196,6 +196,7 @@
         std::vector<std::string>{"10.1.0.21:7000", "10.2.0.38:7000"});
   CHECK(settings.start == scheduler::GroupStart::kNew);
   CHECK(settings.dispatcher.longest_lease == std::chrono::seconds(10));
+  CHECK(settings.tolerated_losses == 2);
   const auto wrong = base::Capture(
       [&] { return DecodeSettings(Replaced(text, R"("Zone":"z",)", "")); });
   CHECK(std::get<base::Error>(wrong).detail.find("Zone") != std::string::npos);
