Make rounds of decisions cheaper on large fleets

Cause: the leader of a grown deployment has 0.4 core for 350 workers. Each event looked at all runs for stalls and stop reasons, built a set of busy workers, and each answer of a worker compared all runs; a blocked gang sorted all occupants again for each reservation.

Ruled out: the placement plans themselves (3% of the rounds' time in a profile), the simulation's own cost (Tick is timed alone).

Change: runs are indexed by worker; runs that only work are swept every 50 ms; idle workers are looked at every 50 ms for holds; occupants are collected once a round and grouped by rack; racks are ranked once in KeepForUrgent.

--- a/libraries/jobs/dispatcher.cc
+++ b/libraries/jobs/dispatcher.cc
@@ -35,6 +35,7 @@
   worker_revision_ = 0;
   workers_.clear();
   runs_.clear();
+  runs_of_.clear();
   pending_.clear();
   claims_.clear();
   actions_.clear();
@@ -203,7 +204,7 @@
       if (run == runs_.end())
         continue;
       if (committed)
-        runs_.erase(run);
+        EraseRun(run);
       else
         run->second.phase = RunPhase::kRunning;
     }
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -243,7 +243,12 @@
                     const CallAnswer& answer,
                     const Now& now);
   void AddRun(const Placement& placement, const Now& now);
+  void EraseRun(std::map<RunKey, Run>::iterator run);
   void DriveRuns(const Now& now);
+  // What is wrong with a run that works, or empty.
+  std::optional<std::string> FaultOf(const RunKey& key,
+                                     Run& run,
+                                     const Now& now);
   void DriveStart(const RunKey& key, Run& run, const Now& now);
   void DriveStop(const RunKey& key, Run& run, const Now& now);
   bool MayStart(const RunKey& key, const Run& run, const Now& now) const;
@@ -275,6 +280,7 @@
 
   // dispatcher_lists.cc
   void DriveHolds(const Now& now);
+  bool HasStartedRuns(const WorkerLife& worker) const;
   void SendHold(Worker& worker, std::uint32_t wait_ms, const Now& now);
   void TakeEnds(Worker& worker, const HoldAnswer::Lists& lists, const Now& now);
   void CompareRuns(Worker& worker,
@@ -300,8 +306,8 @@
   std::uint64_t UrgentReserve(const std::vector<WorkerRoom>& rooms) const;
   static bool IsBusy(const std::vector<WorkerRoom>& rooms);
   void Reserve(const ReadyStep& ready,
-               std::vector<WorkerRoom>& rooms,
-               const Now& now) const;
+               const std::vector<Occupant>& occupants,
+               std::vector<WorkerRoom>& rooms) const;
   PlanRequest RequestOf(const ReadyStep& ready) const;
   std::vector<ReadyStep> ReadySteps(const Now& now) const;
   std::vector<std::uint32_t> UsedRooms(const std::vector<WorkerRoom>& rooms,
@@ -349,6 +355,10 @@
   // Of the store, when it was taken over.
   std::uint64_t worker_revision_ = 0;
   std::map<RunKey, Run> runs_;
+  // The same by worker: an answer of a worker concerns only its own.
+  std::map<WorkerLife, std::set<RunKey>> runs_of_;
+  // When the runs that work are looked at next.
+  base::Instant next_sweep_at_{};
   std::map<std::uint64_t, Pending> pending_;
   std::uint64_t last_proposal_ = 0;
   RunTimes run_times_;
--- a/libraries/jobs/dispatcher_lists.cc
+++ b/libraries/jobs/dispatcher_lists.cc
@@ -13,6 +13,8 @@
 // A worker without an answer for this time gets no longer leases, so that its
 // tasks may start elsewhere once the last one has run out.
 constexpr base::Duration kSilenceLimit = std::chrono::milliseconds(3500);
+// Between looks at a worker without tasks.
+constexpr base::Duration kIdleCheck = std::chrono::milliseconds(50);
 // Between holds that are not answered.
 constexpr base::Duration kHoldRetry = std::chrono::milliseconds(400);
 // A worker that was not heard for this time is forgotten.
@@ -57,25 +59,32 @@
 }  // namespace
 
 void Dispatcher::DriveHolds(const Now& now) {
-  std::set<base::WorkerId> busy;
-  for (const auto& [key, run] : runs_) {
-    if (run.starts_sent > 0 && run.phase != RunPhase::kProposed)
-      busy.insert(run.worker.id);
-  }
   for (auto& [id, worker] : workers_) {
     if (worker.hold_in_flight || worker.ends_in_flight ||
         now.instant < worker.next_hold_at) {
       continue;
     }
-    const bool runs = busy.contains(id);
+    const bool runs = HasStartedRuns(worker.description.life);
     if (!runs && worker.listed_in_term &&
         worker.told_end == worker.acknowledged_end) {
+      // A start that is accepted asks for a hold at once.
+      worker.next_hold_at = now.instant + kIdleCheck;
       continue;
     }
     SendHold(worker, runs && worker.listed_in_term ? kHoldWaitMs : 0, now);
   }
 }
 
+bool Dispatcher::HasStartedRuns(const WorkerLife& worker) const {
+  const auto runs = runs_of_.find(worker);
+  return runs != runs_of_.end() &&
+         std::any_of(
+             runs->second.begin(), runs->second.end(), [&](const RunKey& key) {
+               const Run& run = runs_.at(key);
+               return run.starts_sent > 0 && run.phase != RunPhase::kProposed;
+             });
+}
+
 void Dispatcher::SendHold(Worker& worker,
                           std::uint32_t wait_ms,
                           const Now& now) {
@@ -159,15 +168,17 @@
   for (const ListedEnd& end : lists.ended)
     listed.insert(end.run);
   std::vector<RunKey> missing;
-  for (const auto& [key, run] : runs_) {
+  const auto expected_here = runs_of_.find(worker.description.life);
+  if (expected_here == runs_of_.end())
+    return;
+  for (const RunKey& key : expected_here->second) {
+    const Run& run = runs_.at(key);
     const bool settled = run.settled_at && *run.settled_at < sent_at;
     const bool expected =
         run.phase == RunPhase::kRunning ||
         (run.phase == RunPhase::kStopping && run.stop_accepted);
-    if (run.worker == worker.description.life && settled && expected &&
-        !listed.contains(key)) {
+    if (settled && expected && !listed.contains(key))
       missing.push_back(key);
-    }
   }
   ReturnRuns(missing, "not_listed", now);
 }
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -202,6 +202,7 @@
   PromiseClaims(ready, rooms, now);
   bool kept = false;
   int reservations = 0;
+  std::optional<std::vector<Occupant>> occupants;
   std::map<Shape, std::uint32_t> refused;
   for (const ReadyStep& entry : ready) {
     const bool urgent = entry.job->policy.priority == 0;
@@ -229,7 +230,9 @@
     if (entry.spec->gang && urgency(entry) != Urgency::kWorthless &&
         reservations < kMaximumReservations && IsBusy(rooms)) {
       ++reservations;
-      Reserve(entry, rooms, now);
+      if (!occupants)
+        occupants = Occupants(rooms, now);
+      Reserve(entry, *occupants, rooms);
     }
   }
   if (placements.empty())
--- a/libraries/jobs/dispatcher_reserve.cc
+++ b/libraries/jobs/dispatcher_reserve.cc
@@ -88,10 +88,9 @@
 // Holds a rack for a gang that has no place, so that shorter or less urgent
 // tasks do not keep it busy for ever; what ends before may still use it.
 void Dispatcher::Reserve(const ReadyStep& ready,
-                         std::vector<WorkerRoom>& rooms,
-                         const Now& now) const {
-  const auto reservation =
-      ReserveRack(rooms, Occupants(rooms, now), RequestOf(ready));
+                         const std::vector<Occupant>& occupants,
+                         std::vector<WorkerRoom>& rooms) const {
+  const auto reservation = ReserveRack(rooms, occupants, RequestOf(ready));
   if (!reservation)
     return;
   for (const std::size_t room : reservation->rooms)
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -16,6 +16,8 @@
 constexpr base::Duration kSilencePause = std::chrono::seconds(2);
 // How long a worker whose tasks stand still or are slow gets no others.
 constexpr base::Duration kStallPause = std::chrono::seconds(4);
+// Between looks at the runs that work; a stop may come so much later.
+constexpr base::Duration kSweepInterval = std::chrono::milliseconds(50);
 // A start carries a short lease, which the first hold extends: a start that is
 // lost in a cut is in doubt only so long.
 constexpr base::Duration kStartLease = std::chrono::milliseconds(3500);
@@ -41,16 +43,52 @@
   }
   run.progress_at = now.instant;
   run.next_call_at = now.instant;
-  runs_.insert_or_assign({placement.task, placement.attempt}, std::move(run));
+  const RunKey key{.task = placement.task, .attempt = placement.attempt};
+  if (const auto old = runs_.find(key); old != runs_.end())
+    EraseRun(old);
+  runs_of_[run.worker].insert(key);
+  runs_.emplace(key, std::move(run));
 }
 
+void Dispatcher::EraseRun(std::map<RunKey, Run>::iterator run) {
+  const auto others = runs_of_.find(run->second.worker);
+  if (others != runs_of_.end()) {
+    others->second.erase(run->first);
+    if (others->second.empty())
+      runs_of_.erase(others);
+  }
+  runs_.erase(run);
+}
+
+std::optional<std::string> Dispatcher::FaultOf(const RunKey& key,
+                                               Run& run,
+                                               const Now& now) {
+  if (auto stall = StallOf(key, run, now)) {
+    // In a gang any member may be the cause; all of their workers come last in
+    // the next plan.
+    Worker& stalled = workers_.at(run.worker.id);
+    stalled.failures = std::max(stalled.failures, 1);
+    if (!run.gang)
+      stalled.avoid_until = now.instant + kStallPause;
+    return stall;
+  }
+  return StopReason(key, run, now);
+}
+
+// Runs that only work are looked at now and then: with a thousand of them, a
+// look after each event left a small host no time for calls.
 void Dispatcher::DriveRuns(const Now& now) {
+  const bool sweeps = now.instant >= next_sweep_at_;
+  if (sweeps)
+    next_sweep_at_ = now.instant + kSweepInterval;
   std::vector<RunKey> gone;
   std::vector<RunKey> expired;
   std::vector<RunKey> unsent;
   for (auto& [key, run] : runs_) {
-    if (run.phase == RunPhase::kProposed || run.phase == RunPhase::kEnding)
+    if (run.phase == RunPhase::kProposed || run.phase == RunPhase::kEnding ||
+        (run.phase == RunPhase::kRunning && !sweeps)) {
       continue;
+    }
     const Worker* worker = FindWorker(run.worker);
     if (worker == nullptr) {
       gone.push_back(key);
@@ -60,19 +98,10 @@
       expired.push_back(key);
       continue;
     }
-    if (run.phase == RunPhase::kRunning) {
-      if (auto stall = StallOf(key, run, now)) {
-        // In a gang any member may be the cause; all of their workers come
-        // last in the next plan.
-        Worker& stalled = workers_.at(run.worker.id);
-        stalled.failures = std::max(stalled.failures, 1);
-        if (!run.gang)
-          stalled.avoid_until = now.instant + kStallPause;
-        RequestStop(key, run, std::move(*stall), now);
-      }
-    }
     if (run.phase != RunPhase::kStopping) {
-      if (auto reason = StopReason(key, run, now)) {
+      auto reason = run.phase == RunPhase::kRunning ? FaultOf(key, run, now)
+                                                    : StopReason(key, run, now);
+      if (reason) {
         if (run.phase == RunPhase::kStarting && run.starts_sent == 0) {
           unsent.push_back(key);
           continue;
--- a/libraries/jobs/planner.cc
+++ b/libraries/jobs/planner.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <tuple>
@@ -124,12 +126,8 @@
 }  // namespace
 
 std::optional<Reservation> ReserveRack(const std::vector<WorkerRoom>& rooms,
-                                       std::vector<Occupant> occupants,
+                                       const std::vector<Occupant>& occupants,
                                        const PlanRequest& request) {
-  std::sort(occupants.begin(), occupants.end(),
-            [](const Occupant& a, const Occupant& b) {
-              return a.remaining_ms < b.remaining_ms;
-            });
   std::map<base::RackId, std::vector<std::size_t>> racks;
   for (std::size_t i = 0; i < rooms.size(); ++i) {
     const bool free_to_reserve = std::isinf(rooms[i].usable_ms) &&
@@ -137,6 +135,15 @@
     if (free_to_reserve && Accepts(rooms[i], request))
       racks[rooms[i].rack].push_back(i);
   }
+  std::map<base::RackId, std::vector<const Occupant*>> ends;
+  for (const Occupant& occupant : occupants)
+    ends[rooms[occupant.room].rack].push_back(&occupant);
+  for (auto& [id, order] : ends) {
+    std::sort(order.begin(), order.end(),
+              [](const Occupant* a, const Occupant* b) {
+                return a->remaining_ms < b->remaining_ms;
+              });
+  }
   std::optional<Reservation> best;
   for (const auto& [id, members] : racks) {
     std::map<std::size_t, Resources> space;
@@ -146,16 +153,16 @@
       fits += Fitting(space[i], *request.step, 0);
     }
     double wait_ms = 0;
-    for (const Occupant& occupant : occupants) {
+    for (const Occupant* occupant : ends[id]) {
       if (fits >= request.count)
         break;
-      const auto room = space.find(occupant.room);
+      const auto room = space.find(occupant->room);
       if (room == space.end())
         continue;
       fits -= Fitting(room->second, *request.step, 0);
-      room->second += occupant.resources;
+      room->second += occupant->resources;
       fits += Fitting(room->second, *request.step, 0);
-      wait_ms = occupant.remaining_ms;
+      wait_ms = occupant->remaining_ms;
     }
     if (fits >= request.count && (!best || wait_ms < best->wait_ms))
       best = Reservation{.rooms = members, .wait_ms = wait_ms};
@@ -167,20 +174,22 @@
   std::map<base::RackId, std::uint64_t> free_in_rack;
   for (const WorkerRoom& room : rooms)
     free_in_rack[room.rack] += room.Usable().accelerators;
-  std::vector<std::size_t> order(rooms.size());
-  for (std::size_t i = 0; i < order.size(); ++i)
-    order[i] = i;
-  const auto key = [&](std::size_t i) {
-    return std::tuple(free_in_rack[rooms[i].rack], rooms[i].rack,
-                      rooms[i].Usable().accelerators, i);
-  };
-  std::sort(order.begin(), order.end(),
-            [&](std::size_t a, std::size_t b) { return key(a) > key(b); });
+  // The rack of each room, as a position in the order of the racks.
+  using Key =
+      std::tuple<std::uint64_t, std::size_t, std::uint64_t, std::size_t>;
+  std::vector<Key> order;
+  order.reserve(rooms.size());
+  for (std::size_t i = 0; i < rooms.size(); ++i) {
+    const auto rack = free_in_rack.find(rooms[i].rack);
+    const auto rank =
+        static_cast<std::size_t>(std::distance(free_in_rack.begin(), rack));
+    order.emplace_back(rack->second, rank, rooms[i].Usable().accelerators, i);
+  }
+  std::sort(order.begin(), order.end(), std::greater<>());
   std::uint64_t kept = 0;
-  for (const std::size_t i : order) {
+  for (const auto& [in_rack, rank, free, i] : order) {
     if (kept >= accelerators)
       return;
-    const std::uint64_t free = rooms[i].Usable().accelerators;
     if (rooms[i].penalty > 0 || free == 0)
       continue;
     rooms[i].urgent_only = true;
--- a/libraries/jobs/planner.h
+++ b/libraries/jobs/planner.h
@@ -92,10 +92,11 @@
 };
 
 // Finds the rack that can hold the whole gang soonest, by the expected ends of
-// what runs there; empty when no rack ever can. Load pattern: many small tasks
-// that fill each gap as it opens and so starve gangs of whole workers.
+// what runs there; empty when no rack ever can.
+// Load pattern: many small tasks that fill each gap as it opens and so starve
+// gangs of whole workers.
 std::optional<Reservation> ReserveRack(const std::vector<WorkerRoom>& rooms,
-                                       std::vector<Occupant> occupants,
+                                       const std::vector<Occupant>& occupants,
                                        const PlanRequest& request);
 
 // Marks rooms with `accelerators` free ones in all as kept for urgent work:
--- a/tests/jobs/dispatch_simulation.cc
+++ b/tests/jobs/dispatch_simulation.cc
@@ -43,9 +43,10 @@
           .version = 1,
           .queues =
               {{.name = "q", .host = "h", .path_prefix = "/", .pool = "p"}},
-          .customers = {{.id = base::CustomerId("c"),
-                         .keys = {"k"},
-                         .guaranteed_accelerators = 64}}}});
+          .customers = {
+              {.id = base::CustomerId("c"),
+               .keys = {"k"},
+               .guaranteed_accelerators = options.guaranteed_accelerators}}}});
   for (std::size_t i = 0; i < fleet_.size(); ++i)
     store_.Apply(RecordWorker{.worker = fleet_.worker(i).description});
   store_.Apply(TakeOver{.term = term_});
@@ -204,7 +205,9 @@
     }
     Report();
     AnswerHolds();
+    const base::Instant began = base::MonotonicClock::now();
     dispatcher_.Tick(Time());
+    round_times_.push_back(base::MonotonicClock::now() - began);
     for (const Decision& decision : dispatcher_.TakeDecisions())
       ++decisions_[std::string(decision.kind) + " " +
                    decision.reason.substr(0, decision.reason.find(' '))];
--- a/tests/jobs/dispatch_simulation.h
+++ b/tests/jobs/dispatch_simulation.h
@@ -18,6 +18,7 @@
   std::uint64_t seed = 1;
   int workers = 12;
   int workers_per_rack = 4;
+  std::uint64_t guaranteed_accelerators = 64;
   // Of starts and stops: carried out, and the answer is lost.
   double lost_answers = 0;
   // Of starts: no answer, and carried out 2 to 12 s later.
@@ -52,6 +53,10 @@
   // When the job ended, from its acceptance on, in milliseconds.
   std::uint64_t TookMs(const std::string& id) const;
   const std::map<std::string, int>& decisions() const { return decisions_; }
+  // Processor time of each round of decisions so far.
+  const std::vector<base::Duration>& round_times() const {
+    return round_times_;
+  }
 
  private:
   struct OpenHold {
@@ -77,6 +82,7 @@
   std::vector<OpenHold> holds_;
   std::uint64_t next_report_ms_ = 0;
   std::map<std::string, int> decisions_;
+  std::vector<base::Duration> round_times_;
 };
 
 // A step of equal tasks.
