Reserve rooms for gangs that span racks

Cause: a blocked gang reserved a rack, and none if no rack can ever hold it.

Ruled out: slow rounds (at most 0.1 s apart in that time), urgent work (its gangs had room within 0.3 s in the median).

Change: ReserveRooms takes the places that are free soonest over all racks, for gangs that need no rack or find none; the rest of the backfill rule is the same.

--- a/libraries/jobs/dispatcher_reserve.cc
+++ b/libraries/jobs/dispatcher_reserve.cc
@@ -85,12 +85,17 @@
          kBusyShare * static_cast<double>(capacity);
 }
 
-// Holds a rack for a gang that has no place, so that shorter or less urgent
+// Holds rooms for a gang that has no place, so that shorter or less urgent
 // tasks do not keep it busy for ever; what ends before may still use it.
 void Dispatcher::Reserve(const ReadyStep& ready,
                          const std::vector<Occupant>& occupants,
                          std::vector<WorkerRoom>& rooms) const {
-  const auto reservation = ReserveRack(rooms, occupants, RequestOf(ready));
+  const PlanRequest request = RequestOf(ready);
+  std::optional<Reservation> reservation;
+  if (ready.spec->rack_local)
+    reservation = ReserveRack(rooms, occupants, request);
+  if (!reservation)
+    reservation = ReserveRooms(rooms, occupants, request);
   if (!reservation)
     return;
   for (const std::size_t room : reservation->rooms)
--- a/libraries/jobs/planner.cc
+++ b/libraries/jobs/planner.cc
@@ -119,6 +119,18 @@
   return rooms;
 }
 
+bool MayReserve(const WorkerRoom& room, const PlanRequest& request) {
+  return std::isinf(room.usable_ms) && (request.urgent || !room.urgent_only) &&
+         Accepts(room, request);
+}
+
+void SortByEnd(std::vector<const Occupant*>& occupants) {
+  std::sort(occupants.begin(), occupants.end(),
+            [](const Occupant* a, const Occupant* b) {
+              return a->remaining_ms < b->remaining_ms;
+            });
+}
+
 bool PrefersRack(const StepSpec& step) {
   return step.rack_local || !step.data_rack.empty();
 }
@@ -130,20 +142,14 @@
                                        const PlanRequest& request) {
   std::map<base::RackId, std::vector<std::size_t>> racks;
   for (std::size_t i = 0; i < rooms.size(); ++i) {
-    const bool free_to_reserve = std::isinf(rooms[i].usable_ms) &&
-                                 (request.urgent || !rooms[i].urgent_only);
-    if (free_to_reserve && Accepts(rooms[i], request))
+    if (MayReserve(rooms[i], request))
       racks[rooms[i].rack].push_back(i);
   }
   std::map<base::RackId, std::vector<const Occupant*>> ends;
   for (const Occupant& occupant : occupants)
     ends[rooms[occupant.room].rack].push_back(&occupant);
-  for (auto& [id, order] : ends) {
-    std::sort(order.begin(), order.end(),
-              [](const Occupant* a, const Occupant* b) {
-                return a->remaining_ms < b->remaining_ms;
-              });
-  }
+  for (auto& [id, order] : ends)
+    SortByEnd(order);
   std::optional<Reservation> best;
   for (const auto& [id, members] : racks) {
     std::map<std::size_t, Resources> space;
@@ -170,6 +176,43 @@
   return best;
 }
 
+std::optional<Reservation> ReserveRooms(const std::vector<WorkerRoom>& rooms,
+                                        const std::vector<Occupant>& occupants,
+                                        const PlanRequest& request) {
+  std::map<std::size_t, std::vector<const Occupant*>> ends;
+  for (const Occupant& occupant : occupants)
+    ends[occupant.room].push_back(&occupant);
+  // When each place for a member is free, and in which room.
+  std::vector<std::pair<double, std::size_t>> places;
+  for (std::size_t i = 0; i < rooms.size(); ++i) {
+    if (!MayReserve(rooms[i], request))
+      continue;
+    Resources space = rooms[i].Usable();
+    std::uint32_t fits = Fitting(space, *request.step, 0);
+    places.insert(places.end(), fits, {0.0, i});
+    SortByEnd(ends[i]);
+    for (const Occupant* occupant : ends[i]) {
+      space += occupant->resources;
+      const std::uint32_t more = Fitting(space, *request.step, 0);
+      places.insert(places.end(), more - fits, {occupant->remaining_ms, i});
+      fits = more;
+    }
+  }
+  if (places.size() < request.count || request.count == 0)
+    return std::nullopt;
+  const auto last =
+      places.begin() + static_cast<std::ptrdiff_t>(request.count) - 1;
+  std::nth_element(places.begin(), last, places.end());
+  Reservation reservation{.wait_ms = last->first};
+  for (auto place = places.begin(); place <= last; ++place)
+    reservation.rooms.push_back(place->second);
+  std::sort(reservation.rooms.begin(), reservation.rooms.end());
+  const auto repeated =
+      std::unique(reservation.rooms.begin(), reservation.rooms.end());
+  reservation.rooms.erase(repeated, reservation.rooms.end());
+  return reservation;
+}
+
 void KeepForUrgent(std::vector<WorkerRoom>& rooms, std::uint64_t accelerators) {
   std::map<base::RackId, std::uint64_t> free_in_rack;
   for (const WorkerRoom& room : rooms)
--- a/libraries/jobs/planner.h
+++ b/libraries/jobs/planner.h
@@ -99,6 +99,12 @@
                                        const std::vector<Occupant>& occupants,
                                        const PlanRequest& request);
 
+// The same for a gang that may span racks: the rooms that can take its members
+// soonest. Load pattern: small tasks starve gangs that no rack can hold.
+std::optional<Reservation> ReserveRooms(const std::vector<WorkerRoom>& rooms,
+                                        const std::vector<Occupant>& occupants,
+                                        const PlanRequest& request);
+
 // Marks rooms with `accelerators` free ones in all as kept for urgent work:
 // those with the most room, in as few racks as possible. Load pattern: bursts
 // of short urgent gangs, for which longer work had to be stopped.
--- a/tests/jobs/dispatcher_load_test.cc
+++ b/tests/jobs/dispatcher_load_test.cc
@@ -76,6 +76,23 @@
   CHECK(simulation.StateOf("gang") == JobState::kCompleted);
 }
 
+// The same for a gang that no rack can hold.
+TEST_CASE("small tasks do not starve a gang that spans racks") {
+  DispatchSimulation simulation({.workers = 24, .workers_per_rack = 4});
+  for (int i = 0; i < 30; ++i) {
+    simulation.Submit("s" + std::to_string(100 + i), {Step(30, 1, 1500)}, 2);
+    simulation.RunFor(50);
+  }
+  simulation.Submit("gang", {Gang(10, 8, 3000)}, 1);
+  for (int i = 30; i < 70; ++i) {
+    simulation.Submit("s" + std::to_string(100 + i), {Step(30, 1, 1500)}, 2);
+    simulation.RunFor(200);
+  }
+  CHECK(simulation.StateOf("gang") == JobState::kCompleted);
+  // Three times its work and a second, the objective of the queue.
+  CHECK(simulation.TookMs("gang") <= 10'000);
+}
+
 // Load pattern: a domain goes silent during a burst; starts into it would stay
 // in doubt until the leases have run out.
 TEST_CASE("a silent domain costs a burst only the starts already sent") {
--- a/tests/jobs/planner_test.cc
+++ b/tests/jobs/planner_test.cc
@@ -108,6 +108,22 @@
   CHECK(reservation->wait_ms == 500);
 }
 
+TEST_CASE(
+    "a gang that no rack holds reserves the rooms that are free soonest") {
+  const auto rooms = Rooms({0, 8, 4, 0}, 2);
+  const StepSpec step = StepOfSize(3, 8);
+  const std::vector<Occupant> occupants{
+      {.room = 0, .resources = {.accelerators = 8}, .remaining_ms = 900},
+      {.room = 2, .resources = {.accelerators = 4}, .remaining_ms = 300},
+      {.room = 3, .resources = {.accelerators = 8}, .remaining_ms = 500}};
+  const PlanRequest request{.step = &step, .pool = "p", .count = 3};
+  CHECK_FALSE(ReserveRack(rooms, occupants, request));
+  const auto reservation = ReserveRooms(rooms, occupants, request);
+  REQUIRE(reservation);
+  CHECK(reservation->rooms == std::vector<std::size_t>{1, 2, 3});
+  CHECK(reservation->wait_ms == 500);
+}
+
 TEST_CASE("reserved rooms take only what ends before the gang begins") {
   auto rooms = Rooms({8}, 1);
   rooms[0].usable_ms = 1000;
