Do not take a refused repeat of a request for one that was never sent

Cause: cpprestsdk sends a request again by itself when a kept connection breaks before its answer. A cut that resets connections breaks the first copy after the worker has read it, the repeat cannot connect, and HttpClient reported HttpNotSent.

Ruled out: an early end of the lease (57 ms), a change of the leader (the same scheduler started both).

Change: a failure to connect counts as not sent only on a client that was made for the call and so has no kept connection; otherwise as lost.

--- a/libraries/net/http_client.cc
+++ b/libraries/net/http_client.cc
@@ -57,6 +57,8 @@
   std::atomic<bool> reported{false};
   pplx::cancellation_token_source cancellation;
   HttpTimers::Id deadline;
+  // The library may send the request on a kept connection first.
+  bool may_repeat = false;
 
   void Report(HttpOutcome outcome) {
     if (reported.exchange(true))
@@ -87,13 +89,17 @@
       });
 }
 
-HttpOutcome ConvertFailure(const HttpCall& call,
+HttpOutcome ConvertFailure(const PendingCall& pending,
                            const std::exception& exception) {
+  const HttpCall& call = pending.call;
   const std::string text = exception.what();
   base::Error error = ClientError(call, base::ErrorCode::kUnavailable, text);
-  if (FailedToConnect(text))
+  if (FailedToConnect(text)) {
+    if (pending.may_repeat)
+      return HttpLost{std::move(error)};
     return HttpNotSent{std::move(error)};
-  if (text.starts_with(kHandshakeFailure)) {
+  }
+  if (text.starts_with(kHandshakeFailure) && !pending.may_repeat) {
     error.detail =
         "no TLS connection, nothing was sent: the peer's certificate is not "
         "trusted or not valid for this address, or the peer serves plain HTTP "
@@ -141,7 +147,8 @@
   std::map<std::string, std::shared_ptr<http_client>> clients;
 
   std::shared_ptr<http_client> NewClient(const std::string& base_uri) const;
-  std::shared_ptr<http_client> ClientFor(const HttpCall& call);
+  // Notes whether a connection may have been kept.
+  std::shared_ptr<http_client> ClientFor(PendingCall& pending);
   void Run(const std::shared_ptr<PendingCall>& pending);
 };
 
@@ -163,13 +170,15 @@
 }
 
 std::shared_ptr<http_client> HttpClient::Implementation::ClientFor(
-    const HttpCall& call) {
+    PendingCall& pending) {
+  const HttpCall& call = pending.call;
   const std::string base_uri = call.scheme + "://" + call.address;
   // A new client has no kept connections.
   if (call.reuse == ConnectionReuse::kFresh)
     return NewClient(base_uri);
   std::lock_guard lock(mutex);
   std::shared_ptr<http_client>& client = clients[base_uri];
+  pending.may_repeat = client != nullptr;
   if (!client)
     client = NewClient(base_uri);
   return client;
@@ -178,7 +187,7 @@
 void HttpClient::Implementation::Run(
     const std::shared_ptr<PendingCall>& pending) {
   const std::size_t limit = options.answer_limit_bytes;
-  std::shared_ptr<http_client> client = ClientFor(pending->call);
+  std::shared_ptr<http_client> client = ClientFor(*pending);
   auto response = std::make_shared<web::http::http_response>();
   client->request(ConvertCall(pending->call), pending->cancellation.get_token())
       .then([response, limit](const web::http::http_response& received) {
@@ -194,7 +203,7 @@
           try {
             return ConvertAnswer(pending->call, *response, body.get(), limit);
           } catch (const std::exception& exception) {
-            return ConvertFailure(pending->call, exception);
+            return ConvertFailure(*pending, exception);
           }
         }();
         pending->Report(std::move(outcome));
--- a/libraries/net/http_client.h
+++ b/libraries/net/http_client.h
@@ -19,7 +19,9 @@
 
 // cpprestsdk sends a request again by itself when a kept connection turns out
 // to be closed, even when the peer may have acted on it. A call that must not
-// run twice therefore needs a connection of its own.
+// run twice therefore needs a connection of its own. A repeat may be refused
+// although the first copy ran, so a failure to connect proves that nothing was
+// sent only where no connection can have been kept.
 enum class ConnectionReuse { kAllowed, kFresh };
 
 struct HttpCall {
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -75,6 +75,30 @@
   CHECK(server.requests() == 3);
 }
 
+// Guards against a task that starts twice: the repeat of a request that was
+// sent on a kept connection is refused, but the first copy may have run. Seen
+// on sbl-klok-grown, mix --seed 88232339108, when a cut reset the connections.
+TEST_CASE("a refused repeat of a request does not count as not sent") {
+  RawServer* peer = nullptr;
+  RawServer server(
+      [&](int number) {
+        if (number == 0)
+          return std::string(kOkAnswer);
+        peer->StopListening();
+        return std::string();
+      },
+      RawServer::AfterAnswer::kKeepOpen);
+  peer = &server;
+  HttpClient client;
+  const HttpCall call = CallTo(server.address());
+  REQUIRE(std::holds_alternative<HttpAnswer>(client.SendAndWait(call)));
+  CHECK(std::holds_alternative<HttpLost>(client.SendAndWait(call)));
+  CHECK(server.requests() == 2);
+  // Without a kept connection the refusal is certain again.
+  client.Forget(server.address());
+  CHECK(std::holds_alternative<HttpNotSent>(client.SendAndWait(call)));
+}
+
 // Guards against a part of an answer that is taken for the whole.
 TEST_CASE("a truncated answer counts as lost") {
   RawServer server(
--- a/tests/net/raw_server.cc
+++ b/tests/net/raw_server.cc
@@ -47,7 +47,7 @@
   sockaddr_in name{};
   name.sin_family = AF_INET;
   name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(listener_, reinterpret_cast<sockaddr*>(&name), sizeof(name));
+  ::bind(listener_, reinterpret_cast<sockaddr*>(&name), sizeof(name));
   listen(listener_, 16);
   socklen_t length = sizeof(name);
   getsockname(listener_, reinterpret_cast<sockaddr*>(&name), &length);
@@ -58,7 +58,13 @@
 RawServer::~RawServer() {
   stopping_ = true;
   thread_.join();
-  close(listener_);
+  StopListening();
+}
+
+void RawServer::StopListening() {
+  const int listener = listener_.exchange(-1);
+  if (listener >= 0)
+    close(listener);
 }
 
 std::string RawServer::address() const {
@@ -66,7 +72,7 @@
 }
 
 void RawServer::Serve() {
-  while (!stopping_) {
+  while (!stopping_ && listener_ >= 0) {
     pollfd poller{.fd = listener_, .events = POLLIN, .revents = 0};
     if (poll(&poller, 1, kPollMilliseconds) <= 0)
       continue;
--- a/tests/net/raw_server.h
+++ b/tests/net/raw_server.h
@@ -22,6 +22,9 @@
   RawServer(Script script, AfterAnswer after_answer);
   ~RawServer();
 
+  // Refuses further connections; the open one is served on. For scripts.
+  void StopListening();
+
   std::string address() const;
   int requests() const { return requests_.load(); }
 
@@ -31,7 +34,7 @@
 
   Script script_;
   AfterAnswer after_answer_;
-  int listener_ = -1;
+  std::atomic<int> listener_{-1};
   std::uint16_t port_ = 0;
   std::atomic<int> requests_{0};
   std::atomic<bool> stopping_{false};
