--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -235,11 +235,12 @@
                         const Now& now);
 
   // dispatcher_runs.cc
-  // The run that an answer is about, if it is still of interest. Notes that the
-  // worker answered.
+  // The run that an answer is about, if it is still in the phase in which the
+  // call was sent. Notes that the worker answered.
   Run* FindAnswered(const RunKey& key,
                     const WorkerLife& worker,
                     std::uint64_t fencing_token,
+                    RunPhase phase,
                     const CallAnswer& answer,
                     const Now& now);
   void AddRun(const Placement& placement, const Now& now);
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -243,6 +243,7 @@
 Dispatcher::Run* Dispatcher::FindAnswered(const RunKey& key,
                                           const WorkerLife& life,
                                           std::uint64_t fencing_token,
+                                          RunPhase phase,
                                           const CallAnswer& answer,
                                           const Now& now) {
   const auto found = runs_.find(key);
@@ -255,22 +256,22 @@
     NoteClock(*worker, *answer.clock_ms, now);
     NoteAnswer(*worker, now);
   }
+  // A call of another phase that was sent meanwhile decides.
+  if (found->second.phase != phase)
+    return nullptr;
+  found->second.call_in_flight = false;
   return &found->second;
 }
 
 void Dispatcher::OnStartAnswer(const StartAction& call,
                                const CallAnswer& answer,
                                const Now& now) {
-  Run* answered =
-      FindAnswered(call.run, call.worker, call.fencing_token, answer, now);
+  Run* answered = FindAnswered(call.run, call.worker, call.fencing_token,
+                               RunPhase::kStarting, answer, now);
   if (answered == nullptr)
     return;
   Run& run = *answered;
   Worker* worker = FindWorker(call.worker);
-  // A stop that was sent meanwhile decides.
-  if (run.phase != RunPhase::kStarting)
-    return;
-  run.call_in_flight = false;
   switch (answer.result) {
     case CallResult::kAccepted:
       run.phase = RunPhase::kRunning;
@@ -322,15 +323,12 @@
 void Dispatcher::OnStopAnswer(const StopAction& call,
                               const CallAnswer& answer,
                               const Now& now) {
-  Run* answered =
-      FindAnswered(call.run, call.worker, call.fencing_token, answer, now);
+  Run* answered = FindAnswered(call.run, call.worker, call.fencing_token,
+                               RunPhase::kStopping, answer, now);
   if (answered == nullptr)
     return;
   Run& run = *answered;
   Worker* worker = FindWorker(call.worker);
-  if (run.phase != RunPhase::kStopping)
-    return;
-  run.call_in_flight = false;
   if (answer.result == CallResult::kAccepted ||
       answer.result == CallResult::kOld) {
     run.stop_accepted = true;
