Log what was skipped in silence, and share the signals of services

Cause: the last read found three places that dropped an error without a line: a committed command that cannot be decoded, a change of the members that failed, and rows of a worker's lists that cannot be read.

--- a/libraries/base/event_number.h
+++ b/libraries/base/event_number.h
@@ -66,6 +66,8 @@
     "A replica replaced the front of its log by a snapshot.")                \
   X(kSnapshotInstalled, 2006, "consensus.snapshot_installed",                \
     "A replica received a snapshot from the leader.")                        \
+  X(kMemberChangeFailed, 2007, "consensus.member_change_failed",             \
+    "A change of the members of a group failed; it is tried again.")         \
   /* Cluster state */                                                        \
   X(kCommandApplied, 2101, "cluster.command_applied",                        \
     "A replicated command was applied.")                                     \
@@ -96,6 +98,8 @@
     "This scheduler no longer decides.")                                     \
   X(kWorkerReported, 3130, "worker.reported",                                \
     "A worker announced itself, changed or left.")                           \
+  X(kWorkerRowsUnreadable, 3131, "worker.rows_unreadable",                   \
+    "A worker listed tasks in a form that this version cannot read.")        \
   X(kConfigurationPut, 3140, "configuration.put",                            \
     "An operator's configuration was put or refused.")                       \
   X(kDomainServiceSet, 3141, "domain.service_set",                           \
@@ -103,6 +107,8 @@
   X(kCallFinished, 3150, "call.finished", "A gateway answered a caller.")    \
   X(kDependencyChanged, 3151, "dependency.changed",                          \
     "The schedulers were lost or reached again.")                            \
+  X(kCommandUnreadable, 3160, "command.unreadable",                          \
+    "A committed command could not be read; all hosts skip it.")             \
   /* Settings and tools */                                                   \
   X(kSettingsLoaded, 4001, "settings.loaded",                                \
     "Settings were read and checked.")                                       \
--- a/libraries/jobs/actions.h
+++ b/libraries/jobs/actions.h
@@ -132,6 +132,8 @@
     std::uint64_t clock_ms = 0;
     std::vector<ListedRun> running;
     std::vector<ListedEnd> ended;
+    // Rows of either list that could not be read and were left out.
+    std::size_t unreadable_rows = 0;
   };
   std::optional<Lists> lists;
   bool fenced = false;
--- a/libraries/tools/service_program.cc
+++ b/libraries/tools/service_program.cc
@@ -5,6 +5,7 @@
 
 #include "tools/command_line.h"
 #include "tools/end_process.h"
+#include "tools/service_signals.h"
 
 namespace wigeonstair::tools {
 
@@ -27,19 +28,6 @@
               "Exit codes: 0 ok, 1 failure, 2 usage, 3 invalid settings."};
 }
 
-sigset_t BlockSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  for (const int signal : {SIGTERM, SIGINT, SIGHUP})
-    sigaddset(&signals, signal);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  // A peer that closes its connection is an error of that connection only.
-  std::signal(SIGPIPE, SIG_IGN);
-  // A write beyond the limit of the file size fails like one on a full disk.
-  std::signal(SIGXFSZ, SIG_IGN);
-  return signals;
-}
-
 // The service is not destroyed: cpprestsdk 2.10 crashes, or waits forever, when
 // a peer connects while a listener closes, and peers do so at any time.
 [[noreturn]] void DrainAndExit(const ProgramDescription& description,
@@ -75,7 +63,7 @@
   const auto& line = std::get<CommandLine>(parsed);
   if (!line.Has("config") || !line.positional().empty())
     return ReportUsage(description, "only --config FILE is needed");
-  const sigset_t signals = BlockSignals();
+  const sigset_t signals = BlockServiceSignals();
   const auto settings = base::Capture([&] {
     return settings::ProcessSettings::Load(line.ValueOr("config", ""));
   });
--- a/services/scheduler/member_controller.cc
+++ b/services/scheduler/member_controller.cc
@@ -200,7 +200,13 @@
     return;
   change_in_flight_ = true;
   options_.replica->ChangeMembers(
-      *change, kChangeTimeout, [this](const consensus::ChangeOutcome&) {
+      *change, kChangeTimeout,
+      [this, host = change->host](const consensus::ChangeOutcome& outcome) {
+        if (const auto* error = std::get_if<base::Error>(&outcome)) {
+          options_.log->Warning(
+              base::EventNumber::kMemberChangeFailed,
+              {{"member", host.value()}, {"reason", error->ToString()}});
+        }
         options_.loop->Post([this] { change_in_flight_ = false; });
       });
 }
--- a/services/scheduler/member_controller.h
+++ b/services/scheduler/member_controller.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "base/event_log.h"
 #include "consensus/replica_runtime.h"
 #include "jobs/leader_client.h"
 #include "net/event_loop.h"
@@ -41,6 +42,7 @@
   net::PeerChannels* channels = nullptr;
   jobs::LeaderClient* leader = nullptr;
   consensus::ReplicaRuntime* replica = nullptr;
+  std::shared_ptr<base::EventLog> log;
   base::HostId self;
   // The message address of this host.
   std::string address;
--- a/services/scheduler/placement_loop.cc
+++ b/services/scheduler/placement_loop.cc
@@ -187,6 +187,11 @@
   const base::Instant sent_at = base::MonotonicClock::now();
   const auto done = [this, action, sent_at](jobs::HoldAnswer answer) {
     options_.loop->Post([this, action, sent_at, answer = std::move(answer)] {
+      if (answer.lists && answer.lists->unreadable_rows > 0) {
+        options_.log->Warning(base::EventNumber::kWorkerRowsUnreadable,
+                              {{"worker", action.worker.id.value()},
+                               {"rows", answer.lists->unreadable_rows}});
+      }
       With([&](jobs::Dispatcher& dispatcher, const jobs::JobStore&) {
         dispatcher.OnHoldAnswer(action, sent_at, answer, Time());
       });
--- a/services/scheduler/replicated_jobs.cc
+++ b/services/scheduler/replicated_jobs.cc
@@ -2,17 +2,22 @@
 
 namespace wigeonstair::scheduler {
 
-ReplicatedJobs::ReplicatedJobs(std::function<void()> on_applied)
-    : on_applied_(std::move(on_applied)) {}
+ReplicatedJobs::ReplicatedJobs(std::function<void()> on_applied,
+                               std::shared_ptr<base::EventLog> log)
+    : on_applied_(std::move(on_applied)), log_(std::move(log)) {}
 
-std::string ReplicatedJobs::Apply(std::uint64_t /*index*/,
+std::string ReplicatedJobs::Apply(std::uint64_t index,
                                   std::string_view command) {
   const auto decoded =
       base::Capture([&] { return jobs::DecodeCommand(command); });
   // Every host sees the same bytes, so all of them skip it alike.
   const auto* known = std::get_if<jobs::Command>(&decoded);
-  if (known == nullptr)
+  if (known == nullptr) {
+    log_->Warning(base::EventNumber::kCommandUnreadable,
+                  {{"index", index},
+                   {"reason", std::get<base::Error>(decoded).ToString()}});
     return std::string(1, static_cast<char>(jobs::CommandReply::kConflict));
+  }
   jobs::CommandReply reply = jobs::CommandReply::kNoChange;
   {
     const std::lock_guard lock(mutex_);
--- a/services/scheduler/replicated_jobs.h
+++ b/services/scheduler/replicated_jobs.h
@@ -2,11 +2,13 @@
 #define WIGEONSTAIR_SERVICES_SCHEDULER_REPLICATED_JOBS_H_
 
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "base/event_log.h"
 #include "consensus/state_machine.h"
 #include "jobs/job_store.h"
 
@@ -18,7 +20,8 @@
  public:
   // `on_applied` runs after each command, without the lock, on the thread that
   // applies the log.
-  explicit ReplicatedJobs(std::function<void()> on_applied);
+  ReplicatedJobs(std::function<void()> on_applied,
+                 std::shared_ptr<base::EventLog> log);
 
   std::string Apply(std::uint64_t index, std::string_view command) override;
   std::string Snapshot() const override;
@@ -37,6 +40,7 @@
 
  private:
   const std::function<void()> on_applied_;
+  const std::shared_ptr<base::EventLog> log_;
   mutable std::mutex mutex_;
   jobs::JobStore store_;
 };
--- a/services/scheduler/scheduler_process.cc
+++ b/services/scheduler/scheduler_process.cc
@@ -61,10 +61,12 @@
       : options(std::move(scheduler_options)),
         self(options.messages.ToString()),
         channels(loop, options.cluster),
-        jobs([this] {
-          if (placement)
-            placement->ScheduleRound();
-        }),
+        jobs(
+            [this] {
+              if (placement)
+                placement->ScheduleRound();
+            },
+            options.log),
         leader({.loop = &loop,
                 .channels = &channels,
                 .seeds = options.seeds,
@@ -142,6 +144,7 @@
                               .channels = &channels,
                               .leader = &leader,
                               .replica = replica.get(),
+                              .log = options.log,
                               .self = base::HostId(self),
                               .address = self,
                               .domain = options.domain,
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -145,6 +145,7 @@
   CHECK(answer.lists->running[0].percent == 41);
   REQUIRE(answer.lists->ended.size() == 1);
   CHECK(answer.lists->ended[0].outcome == jobs::ListedOutcome::kDone);
+  CHECK(answer.lists->unreadable_rows == 3);
   CHECK_FALSE(DecodeHoldAnswer({.status = 200, .body = "{}"}).lists);
   CHECK(DecodeHoldAnswer({.status = 409}).fenced);
 }
