Tell a new leader which starts can still be carried out late

Cause: a new leader took the begin of its term as the time of the last start call of every run, and none as confirmed, so each run on a worker that was gone was held for the limit of late calls and the longest lease (22.8 s), by each leader anew.

Each scheduler now keeps, from the log it applies, when recent placements were committed. A start is sent within 5 s of its placement, which the dispatcher enforces, so older ones are bounded whoever leads. Leaders also write confirmed starts to the log, three times a second in one command; such a run is held for its lease only. A run that moved to a restarted worker is never confirmed, since the log names the former one.

--- a/libraries/jobs/actions.h
+++ b/libraries/jobs/actions.h
@@ -12,14 +12,6 @@
 
 namespace wigeonstair::jobs {
 
-// One attempt to run a task.
-struct RunKey {
-  TaskRef task;
-  std::uint32_t attempt = 0;
-
-  auto operator<=>(const RunKey&) const = default;
-};
-
 // Calls to workers and proposals for the replicated log that a Dispatcher
 // requests. Times of workers are in milliseconds of the worker's own clock.
 // `term` is that of the leader that decided. A worker refuses calls with a
--- a/libraries/jobs/command.h
+++ b/libraries/jobs/command.h
@@ -173,6 +173,17 @@
   }
 };
 
+// Runs whose only start call is known to have been executed. Changes no
+// replicated state; each host keeps it in its PlacementHistory.
+struct ConfirmStarts {
+  std::vector<RunKey> runs;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(runs);
+  }
+};
+
 // The order is part of the format of the log.
 using Command = std::variant<PutConfiguration,
                              SetDomainService,
@@ -184,7 +195,8 @@
                              RecordWorker,
                              RemoveWorker,
                              ForgetJobs,
-                             DeregisterWorker>;
+                             DeregisterWorker,
+                             ConfirmStarts>;
 
 // The result of applying a command.
 enum class CommandReply : std::uint8_t {
--- a/libraries/jobs/dispatcher.cc
+++ b/libraries/jobs/dispatcher.cc
@@ -23,12 +23,14 @@
 Dispatcher::Dispatcher(const JobStore& store, DispatcherOptions options)
     : store_(store), options_(options) {}
 
-void Dispatcher::Lead(std::uint64_t term, const Now& now) {
+void Dispatcher::Lead(std::uint64_t term,
+                      const PlacementHistory& placements,
+                      const Now& now) {
   Resign();
   term_ = term;
   new_incarnations_ = 0;
   SyncWorkers(now);
-  AdoptRuns(now);
+  AdoptRuns(placements, now);
 }
 
 void Dispatcher::Resign() {
@@ -42,6 +44,7 @@
   lost_attempts_.clear();
   pending_.clear();
   claims_.clear();
+  confirmed_starts_.clear();
   actions_.clear();
 }
 
@@ -157,7 +160,7 @@
 
 // Any task that the store shows as placed may be running. This includes tasks
 // of jobs that have ended, which may not be stopped yet.
-void Dispatcher::AdoptRuns(const Now& now) {
+void Dispatcher::AdoptRuns(const PlacementHistory& placements, const Now& now) {
   for (const auto& [id, job] : store_.jobs()) {
     for (const auto& [step_key, tasks] : job.progress) {
       for (std::uint32_t index = 0; index < tasks.size(); ++index) {
@@ -173,9 +176,8 @@
         AddRun(placement, now);
         Run& run = runs_.at({placement.task, placement.attempt});
         run.phase = RunPhase::kRunning;
-        run.starts.sent = 1;
-        run.starts.last_sent_at = now.instant;
-        run.starts.has_unknown = true;
+        run.starts = placements.StartsOf({placement.task, placement.attempt},
+                                         now.instant);
         run.settled_at = now.instant;
         if (!workers_.contains(run.worker.id))
           removed_workers_[run.worker] = LongestLeaseBound(now);
@@ -283,6 +285,7 @@
   ExpireWorkers(now);
   AdvanceRuns(now);
   RetryReturns(now);
+  ProposeConfirmedStarts(now);
   PlaceRound(now);
   SendDueHolds(now);
 }
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -17,6 +17,7 @@
 #include "jobs/actions.h"
 #include "jobs/api.h"
 #include "jobs/job_store.h"
+#include "jobs/placement_history.h"
 #include "jobs/planner.h"
 #include "jobs/run_existence.h"
 #include "jobs/run_times.h"
@@ -72,9 +73,11 @@
   // `store` outlives the dispatcher and changes only between calls.
   Dispatcher(const JobStore& store, DispatcherOptions options);
 
-  // Starts leading in `term`. The host must have applied all
-  // commands that were committed before.
-  void Lead(std::uint64_t term, const Now& now);
+  // Starts leading in `term`. The host must have applied all commands that were
+  // committed before; `placements` is what it knows of them.
+  void Lead(std::uint64_t term,
+            const PlacementHistory& placements,
+            const Now& now);
   // Stops leading, since another host may lead now. Drops all state that is not
   // in the store.
   void Resign();
@@ -327,7 +330,7 @@
   base::Instant LongestLeaseBound(const Now& now) const;
   // A fencing token that is higher than all earlier ones.
   std::uint64_t NextFence();
-  void AdoptRuns(const Now& now);
+  void AdoptRuns(const PlacementHistory& placements, const Now& now);
   std::uint64_t WorkerClockMs(const Worker& worker, const Now& now) const;
   void RecordClock(Worker& worker, std::uint64_t clock_ms, const Now& now);
   void ExtendLeaseBound(Worker& worker,
@@ -367,6 +370,10 @@
   void SendStart(const RunKey& key, Run& run, const Now& now);
   void SendStop(const RunKey& key, Run& run, const Now& now);
   bool MayStart(const RunKey& key, const Run& run, const Now& now) const;
+  // Notes that the only start of a run was executed, for the next leader.
+  void NoteConfirmedStart(const RunKey& key, const Run& run);
+  // Writes the noted starts to the log, many at a time.
+  void ProposeConfirmedStarts(const Now& now);
   // Whether a start that was not answered may be sent again.
   bool MayRepeatStart(const Run& run, const Now& now) const;
   std::optional<std::string> StopReason(const RunKey& key,
@@ -533,6 +540,9 @@
   // own runs.
   std::map<WorkerIncarnation, std::set<RunKey>> runs_by_worker_;
   std::map<TaskRef, std::vector<LostAttempt>> lost_attempts_;
+  // Starts whose confirmation is not in the log yet.
+  std::vector<RunKey> confirmed_starts_;
+  base::Instant next_confirmation_at_{};
   // Time of the next check of running tasks.
   base::Instant next_sweep_at_{};
   std::map<std::uint64_t, Pending> pending_;
--- a/libraries/jobs/dispatcher_lists.cc
+++ b/libraries/jobs/dispatcher_lists.cc
@@ -177,7 +177,8 @@
             : found->second;
     if (run.worker != worker.description.incarnation)
       continue;
-    run.starts.confirmed = true;
+    if (!std::exchange(run.starts.confirmed, true))
+      NoteConfirmedStart(entry.run, run);
     run.gang_broken_at.reset();
     if (run.phase == RunPhase::kStarting) {
       run.phase = RunPhase::kRunning;
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -25,6 +25,8 @@
 // Lease in a start call; the first hold extends it. It is short so that a start
 // lost in a network partition is in doubt for this time only.
 constexpr base::Duration kStartLease = std::chrono::milliseconds(3500);
+// Interval at which confirmed starts are written to the log.
+constexpr base::Duration kConfirmationInterval = std::chrono::milliseconds(300);
 // Two incarnations of a worker differ more in their clocks, since the clock
 // restarts with the worker.
 constexpr std::uint64_t kClockToleranceMs = 250;
@@ -273,6 +275,8 @@
 // worker that answers other calls soon accepts a repeat, while a stop and
 // another placement take seconds and throw away the work of a whole gang.
 bool Dispatcher::MayRepeatStart(const Run& run, const Now& now) const {
+  if (now.instant - run.placed_at >= kStartWindow)
+    return false;
   if (run.starts.sent < kMaximumStarts)
     return true;
   const Worker* worker = FindWorker(run.worker);
@@ -396,6 +400,7 @@
       run.progress_at = now.instant;
       run.settled_at = now.instant;
       worker.next_hold_at = std::min(worker.next_hold_at, now.instant);
+      NoteConfirmedStart(call.run, run);
       break;
     case CallResult::kStaleAttempt:
       // An earlier call for this attempt was executed; the lists show how its
@@ -440,6 +445,27 @@
   }
 }
 
+// A restarted worker may carry out the start after the log named its former
+// incarnation, so only runs on the recorded one count.
+void Dispatcher::NoteConfirmedStart(const RunKey& key, const Run& run) {
+  const TaskProgress* task = store_.FindTask(key.task);
+  if (!run.starts.MayBeCarriedOut() && task != nullptr &&
+      task->worker == run.worker && task->attempt == key.attempt) {
+    confirmed_starts_.push_back(key);
+  }
+}
+
+// Load pattern: the leader is lost while workers crash or leave. Without this
+// its successor would hold their tasks as long as if every start could still be
+// carried out late.
+void Dispatcher::ProposeConfirmedStarts(const Now& now) {
+  if (confirmed_starts_.empty() || now.instant < next_confirmation_at_)
+    return;
+  next_confirmation_at_ = now.instant + kConfirmationInterval;
+  Propose(ConfirmStarts{.runs = std::exchange(confirmed_starts_, {})},
+          std::nullopt);
+}
+
 void Dispatcher::OnStopAnswer(const StopAction& call,
                               const CallAnswer& answer,
                               const Now& now) {
--- a/libraries/jobs/job.h
+++ b/libraries/jobs/job.h
@@ -127,6 +127,19 @@
   }
 };
 
+// One attempt to run a task.
+struct RunKey {
+  TaskRef task;
+  std::uint32_t attempt = 0;
+
+  auto operator<=>(const RunKey&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(task, attempt);
+  }
+};
+
 // One occurrence of a step.
 struct StepRef {
   base::JobId job;
--- a/libraries/jobs/job_store.cc
+++ b/libraries/jobs/job_store.cc
@@ -262,6 +262,10 @@
   return Execute(RemoveWorker{.incarnation = command.incarnation});
 }
 
+CommandReply JobStore::Execute(const ConfirmStarts& /*command*/) {
+  return CommandReply::kNoChange;
+}
+
 CommandReply JobStore::Execute(const ForgetJobs& command) {
   std::erase_if(deregistered_, [&](const auto& item) {
     return item.second < command.ended_before_ms;
--- a/libraries/jobs/job_store.h
+++ b/libraries/jobs/job_store.h
@@ -69,6 +69,7 @@
   CommandReply Execute(const RemoveWorker& command);
   CommandReply Execute(const ForgetJobs& command);
   CommandReply Execute(const DeregisterWorker& command);
+  CommandReply Execute(const ConfirmStarts& command);
 
   void Place(const Placement& placement);
   void End(const TaskEnd& end, std::uint64_t now_ms);
--- a/libraries/jobs/run_existence.h
+++ b/libraries/jobs/run_existence.h
@@ -18,6 +18,10 @@
 // has forgotten all fencing tokens. Pure functions; all times are on the
 // monotonic clock of this host.
 
+// No start call of a run is sent later than this after its placement was
+// proposed.
+inline constexpr base::Duration kStartWindow = std::chrono::seconds(5);
+
 // The start calls of one attempt, as far as this leader knows them.
 struct StartHistory {
   // Calls that may have reached the worker. The HTTP library may have repeated
--- a/services/scheduler/placement_loop.cc
+++ b/services/scheduler/placement_loop.cc
@@ -111,7 +111,8 @@
               led_term_ = term;
               WithDispatcher(
                   [&](jobs::Dispatcher& dispatcher, const jobs::JobStore&) {
-                    dispatcher.Lead(term, CurrentTime());
+                    dispatcher.Lead(term, options_.jobs->placements(),
+                                    CurrentTime());
                   });
               options_.log->Info(base::EventNumber::kLeadershipTaken,
                                  {{"term", term}});
--- a/services/scheduler/replicated_jobs.cc
+++ b/services/scheduler/replicated_jobs.cc
@@ -23,6 +23,7 @@
   {
     const std::lock_guard lock(mutex_);
     reply = store_.Apply(*known);
+    placements_.Record(*known, base::MonotonicClock::now());
   }
   on_applied_();
   return std::string(1, static_cast<char>(reply));
@@ -36,6 +37,7 @@
 base::Result<std::monostate> ReplicatedJobs::Restore(
     std::string_view snapshot) {
   const std::lock_guard lock(mutex_);
+  placements_.Reset(base::MonotonicClock::now());
   return store_.Restore(snapshot);
 }
 
--- a/services/scheduler/replicated_jobs.h
+++ b/services/scheduler/replicated_jobs.h
@@ -9,8 +9,10 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "base/monotonic_clock.h"
 #include "consensus/state_machine.h"
 #include "jobs/job_store.h"
+#include "jobs/placement_history.h"
 
 namespace wigeonstair::scheduler {
 
@@ -37,12 +39,15 @@
 
   // Unlocked access, for an object that reads the store only while Read() runs.
   const jobs::JobStore& store() const { return store_; }
+  // Only while Read() runs.
+  const jobs::PlacementHistory& placements() const { return placements_; }
 
  private:
   const std::function<void()> on_applied_;
   const std::shared_ptr<base::EventLog> log_;
   mutable std::mutex mutex_;
   jobs::JobStore store_;
+  jobs::PlacementHistory placements_{base::MonotonicClock::now()};
 };
 
 // Decodes the result that Apply() returned for a committed command.
--- a/tests/jobs/dispatch_simulation.cc
+++ b/tests/jobs/dispatch_simulation.cc
@@ -51,7 +51,7 @@
   for (std::size_t i = 0; i < fleet_.size(); ++i)
     store_.Apply(RecordWorker{.worker = fleet_.worker(i).description});
   store_.Apply(TakeOver{.term = term_});
-  dispatcher_.Lead(term_, Time());
+  dispatcher_.Lead(term_, placements_, Time());
 }
 
 Now DispatchSimulation::Time() const {
@@ -85,7 +85,7 @@
   dispatcher_.Resign();
   ++term_;
   store_.Apply(TakeOver{.term = term_});
-  dispatcher_.Lead(term_, Time());
+  dispatcher_.Lead(term_, placements_, Time());
 }
 
 void DispatchSimulation::Restart(std::size_t worker) {
@@ -185,6 +185,7 @@
       return;
     }
     store_.Apply(call.command);
+    placements_.Record(call.command, Time().instant);
     if (term == term_)
       dispatcher_.OnProposed(call.id, true, Time());
   });
--- a/tests/jobs/dispatch_simulation.h
+++ b/tests/jobs/dispatch_simulation.h
@@ -85,6 +85,7 @@
   base::Random random_;
   JobStore store_;
   FakeFleet fleet_;
+  PlacementHistory placements_{base::Instant{}};
   Dispatcher dispatcher_;
   std::uint64_t term_ = 1;
   std::multimap<std::uint64_t, std::function<void()>> events_;
--- /dev/null
+++ b/tests/jobs/new_leader_test.cc
@@ -0,0 +1,83 @@
+#include <catch2/catch.hpp>
+
+#include "dispatch_simulation.h"
+#include "worker_of.h"
+
+namespace wigeonstair::jobs {
+
+namespace {
+
+// The longest lease in the simulation, with the slack for slow clocks and the
+// next placement.
+constexpr std::uint64_t kLeaseMs = 6000;
+constexpr std::uint64_t kSlackMs = 1000;
+constexpr std::uint64_t kLateCallMs = 12'500;
+
+}  // namespace
+
+// Guards against tasks that stand beside free workers (LOST): a new leader took
+// every run on a lost worker for one that may still start late.
+TEST_CASE("a confirmed run on a lost worker waits for its lease only") {
+  DispatchSimulation simulation({.workers = 2, .workers_per_rack = 1});
+  simulation.Submit("a", {Step(1, 4, 60'000)});
+  simulation.RunFor(1000);
+  const TaskRef task{.job = base::JobId("a")};
+  REQUIRE(simulation.fleet().starts() == 1);
+  simulation.fleet().worker(WorkerOf(simulation, task)).silent = true;
+  simulation.ChangeLeader();
+  simulation.RunFor(kLeaseMs + kSlackMs);
+  CHECK(simulation.fleet().starts() == 2);
+}
+
+// The same for each further leader, which must not begin the wait anew.
+TEST_CASE("leader changes do not prolong the wait for an old start") {
+  DispatchSimulation simulation({.workers = 2, .workers_per_rack = 1});
+  simulation.RunFor(100);
+  simulation.fleet().worker(0).late_start_ms = 500'000;
+  simulation.fleet().worker(1).late_start_ms = 500'000;
+  simulation.Submit("a", {Step(1, 4, 60'000)});
+  simulation.RunFor(100);
+  const std::uint64_t placed_ms = simulation.fleet().now_ms();
+  const std::size_t holder = WorkerOf(simulation, {.job = base::JobId("a")});
+  simulation.fleet().worker(0).late_start_ms = 0;
+  simulation.fleet().worker(1).late_start_ms = 0;
+  simulation.fleet().worker(holder).silent = true;
+  for (int i = 0; i < 4; ++i) {
+    simulation.RunFor(4000);
+    simulation.ChangeLeader();
+  }
+  const std::uint64_t window_ms = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(kStartWindow)
+          .count());
+  const std::uint64_t bound_ms =
+      placed_ms + window_ms + kLateCallMs + kLeaseMs + kSlackMs;
+  simulation.RunFor(bound_ms - simulation.fleet().now_ms());
+  CHECK(simulation.fleet().starts() == 1);
+}
+
+// A late copy of the start runs in the restarted worker, which the log does not
+// name.
+TEST_CASE("a run that moved to a restarted worker is not taken for confirmed") {
+  DispatchSimulation simulation({.workers = 2, .workers_per_rack = 1});
+  simulation.RunFor(100);
+  simulation.fleet().worker(0).late_start_ms = 3000;
+  simulation.fleet().worker(1).late_start_ms = 3000;
+  simulation.Submit("a", {Step(1, 4, 20'000)});
+  simulation.RunFor(100);
+  const TaskRef task{.job = base::JobId("a")};
+  simulation.fleet().worker(0).late_start_ms = 0;
+  simulation.fleet().worker(1).late_start_ms = 0;
+  const std::size_t holder = WorkerOf(simulation, task);
+  simulation.fleet().worker(holder).silent = true;
+  simulation.fleet().Restart(holder);
+  simulation.RunFor(3500);
+  simulation.fleet().worker(holder).silent = false;
+  simulation.RunFor(3000);
+  simulation.ChangeLeader();
+  simulation.RunFor(3000);
+  for (const std::string& violation : simulation.fleet().violations())
+    FAIL_CHECK(violation);
+  CHECK(simulation.fleet().Running(task) == 1);
+}
+
+}  // namespace wigeonstair::jobs
