Await the outcome of a lost attempt from the last answer of its worker

Callers saw tasks wait twice for one worker that was gone: until its lease had expired, and then 12 s more for the outcome of the attempt there, if that attempt may have been the last one.

Cause: the wait began when the attempt was given up, which is already 6 to 23 s after the worker answered for the last time. What matters is how long it has been out of reach.

The wait now ends 14 s after the last answer. A gang that breaks at once waits somewhat longer than before (14 s after the last answer, not 12 s after the loss), a run that ends by its lease less.

The new test has one start before and two now; the test of an attempt that failed behind a cut of 12 s passes as before.

--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -245,6 +245,8 @@
     std::uint32_t attempt = 0;
     WorkerIncarnation worker;
     base::Instant lost_at;
+    // Time of the worker's last answer before that.
+    base::Instant answered_at;
   };
 
   struct PendingEnds {
@@ -389,6 +391,7 @@
   void ReturnRuns(const std::vector<RunKey>& keys,
                   std::string_view reason,
                   const Now& now);
+  // The worker of the run must be recorded.
   void RecordLostAttempt(const RunKey& key, const Run& run, const Now& now);
   // Drops the lost attempts on a worker whose list, requested at `sent_at`, is
   // complete.
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -30,9 +30,9 @@
 // Two incarnations of a worker differ more in their clocks, since the clock
 // restarts with the worker.
 constexpr std::uint64_t kClockToleranceMs = 250;
-// How long a task waits for the outcome of a lost attempt that may have been
-// its last one.
-constexpr base::Duration kLongestOutcomeWait = std::chrono::seconds(12);
+// How long after its last answer a worker is expected to come back from a cut
+// and to list whether a lost attempt failed.
+constexpr base::Duration kOutcomeWait = std::chrono::seconds(14);
 // Time for the stop of a run, its last checkpoint and the list with its end
 // before the worker ends.
 constexpr base::Duration kStopBeforeLeaving = std::chrono::milliseconds(1200);
@@ -487,10 +487,13 @@
                                    const Run& run,
                                    const Now& now) {
   std::erase_if(lost_attempts_, [&](const auto& entry) {
-    return now.instant - entry.second.back().lost_at > kLongestOutcomeWait;
+    return now.instant - entry.second.back().answered_at > kOutcomeWait;
   });
   lost_attempts_[key.task].push_back(
-      {.attempt = key.attempt, .worker = run.worker, .lost_at = now.instant});
+      {.attempt = key.attempt,
+       .worker = run.worker,
+       .lost_at = now.instant,
+       .answered_at = FindWorker(run.worker)->answered_at});
 }
 
 void Dispatcher::ResolveLostAttempts(const WorkerIncarnation& worker,
@@ -520,7 +523,7 @@
         const bool known = std::find(failed.begin(), failed.end(),
                                      entry.attempt) != failed.end();
         return !known && FindWorker(entry.worker) != nullptr &&
-               now.instant - entry.lost_at <= kLongestOutcomeWait;
+               now.instant - entry.answered_at <= kOutcomeWait;
       });
   return failed.size() + static_cast<std::size_t>(unknown) >=
          job.policy.max_attempts;
--- a/tests/jobs/new_leader_test.cc
+++ b/tests/jobs/lost_worker_test.cc
@@ -55,6 +55,21 @@
   CHECK(simulation.fleet().starts() == 1);
 }
 
+// Guards against tasks that wait twice for a worker that is gone: first for its
+// lease, then for the outcome of the attempt there.
+TEST_CASE("the outcome of a lost attempt is awaited from the last answer") {
+  constexpr std::uint64_t kOutcomeWaitMs = 14'000;
+  DispatchSimulation simulation({.workers = 2, .workers_per_rack = 1});
+  simulation.Submit("a", {Step(1, 4, 60'000)}, 1, 1);
+  simulation.RunFor(1000);
+  const TaskRef task{.job = base::JobId("a")};
+  simulation.fleet().worker(WorkerOf(simulation, task)).silent = true;
+  simulation.RunFor(kLeaseMs + kSlackMs);
+  CHECK(simulation.fleet().starts() == 1);
+  simulation.RunFor(kOutcomeWaitMs - kLeaseMs);
+  CHECK(simulation.fleet().starts() == 2);
+}
+
 // A late copy of the start runs in the restarted worker, which the log does not
 // name.
 TEST_CASE("a run that moved to a restarted worker is not taken for confirmed") {
