Log what the rounds of a leader take, once a second

Callers saw 503 and 504 "no leading scheduler answered in time" while a scheduler led. Nothing in the log told a leader without processor time from one that was cut off: the round times stood in a histogram of the whole run only.

--- a/libraries/base/event_number.h
+++ b/libraries/base/event_number.h
@@ -98,6 +98,8 @@
     "This scheduler decides what runs where.")                               \
   X(kLeadershipLost, 3121, "scheduler.follows",                              \
     "This scheduler no longer decides.")                                     \
+  X(kLeaderLoad, 3122, "scheduler.load",                                     \
+    "What the rounds of this leader took in the last second.")               \
   X(kWorkerReported, 3130, "worker.reported",                                \
     "A worker announced itself, changed or left.")                           \
   X(kWorkerRowsUnreadable, 3131, "worker.rows_unreadable",                   \
--- a/services/scheduler/placement_loop.cc
+++ b/services/scheduler/placement_loop.cc
@@ -1,5 +1,6 @@
 #include "services/scheduler/placement_loop.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <variant>
@@ -145,11 +146,8 @@
     decisions = dispatcher.TakeDecisions();
     waiting_tasks_.Set(static_cast<std::int64_t>(dispatcher.waiting_tasks()));
     runs_.Set(static_cast<std::int64_t>(dispatcher.run_count()));
-    if (now.instant - last_publication_ > kPublicationInterval) {
-      last_publication_ = now.instant;
-      PublishReasons("wigeonstair_waiting_steps", dispatcher.waiting_steps());
-      PublishReasons("wigeonstair_unused_workers", dispatcher.unused_workers());
-    }
+    if (now.instant - last_publication_ > kPublicationInterval)
+      PublishLoad(dispatcher, now);
   });
   round_latency_.Record(base::MonotonicClock::now() - now.instant);
   for (const jobs::Decision& decision : decisions)
@@ -164,6 +162,28 @@
                                           now.wall_ms - kEndedJobRetentionMs}});
     }
   }
+  const base::Duration took = base::MonotonicClock::now() - now.instant;
+  ++load_.rounds;
+  load_.total += took;
+  load_.longest = std::max(load_.longest, took);
+}
+
+void PlacementLoop::PublishLoad(const jobs::Dispatcher& dispatcher,
+                                const jobs::Now& now) {
+  if (load_.rounds > 0) {
+    options_.log->Info(base::EventNumber::kLeaderLoad,
+                       {{"term", led_term_},
+                        {"span_us", (now.instant - last_publication_).count()},
+                        {"rounds", load_.rounds},
+                        {"rounds_us", load_.total.count()},
+                        {"longest_us", load_.longest.count()},
+                        {"waiting_tasks", dispatcher.waiting_tasks()},
+                        {"runs", dispatcher.run_count()}});
+  }
+  load_ = {};
+  last_publication_ = now.instant;
+  PublishReasons("wigeonstair_waiting_steps", dispatcher.waiting_steps());
+  PublishReasons("wigeonstair_unused_workers", dispatcher.unused_workers());
 }
 
 void PlacementLoop::PublishReasons(
--- a/services/scheduler/placement_loop.h
+++ b/services/scheduler/placement_loop.h
@@ -54,6 +54,13 @@
   jobs::Now CurrentTime() const;
 
  private:
+  // The rounds since the last publication.
+  struct RoundLoad {
+    std::uint64_t rounds = 0;
+    base::Duration total{};
+    base::Duration longest{};
+  };
+
   void UpdateLeadership();
   void BeginTerm(std::uint64_t term);
   void Resign(std::string_view reason);
@@ -65,6 +72,7 @@
   void Execute(const jobs::HoldAction& action);
   void Execute(const jobs::ProposeAction& action);
   void LogDecision(const jobs::Decision& decision);
+  void PublishLoad(const jobs::Dispatcher& dispatcher, const jobs::Now& now);
   // Sets a gauge for each reason, and those of other reasons to zero.
   void PublishReasons(const std::string& name,
                       const std::map<std::string_view, std::size_t>& counts);
@@ -81,6 +89,7 @@
   std::uint64_t led_term_ = 0;
   base::Instant last_job_removal_{};
   base::Instant last_publication_{};
+  RoundLoad load_;
   // By name and reason.
   std::map<std::pair<std::string, std::string>, base::Gauge*> reason_gauges_;
   base::LatencyHistogram& round_latency_;
