Leave two thirds of the event loop to calls when rounds are slow

Cause: each call, answer and commit asks for a scheduling round 2 ms later. Pings and calls waited for more than the 500 ms for which a gateway trusts a leader; the gateways dropped it, rejected their calls and probed all schedulers. The pause of the dispatcher after a placement was a guess by the number of steps and did not cover the other work of a round.

RoundPacer spaces rounds by what the last one took: the pause is twice that, at most 150 ms. Short rounds begin at once as before. The check of the leadership stays on its 50 ms timer.

--- a/services/scheduler/placement_loop.cc
+++ b/services/scheduler/placement_loop.cc
@@ -54,16 +54,27 @@
 
 void PlacementLoop::Start(consensus::ReplicaRuntime& replica) {
   replica_ = &replica;
-  options_.loop->ScheduleEvery(kRoundInterval, [this] { RunRound(); });
+  options_.loop->ScheduleEvery(kRoundInterval, [this] {
+    UpdateLeadership();
+    ScheduleRound();
+  });
 }
 
 void PlacementLoop::ScheduleRound() {
   if (round_posted_.exchange(true))
     return;
-  options_.loop->Schedule(kRoundDelay, [this] {
-    round_posted_ = false;
-    RunRound();
-  });
+  options_.loop->Schedule(kRoundDelay, [this] { RunPostedRound(); });
+}
+
+void PlacementLoop::RunPostedRound() {
+  const base::Duration wait =
+      pacer_.TimeUntilNextRound(base::MonotonicClock::now());
+  if (wait > base::Duration::zero()) {
+    options_.loop->Schedule(wait, [this] { RunPostedRound(); });
+    return;
+  }
+  round_posted_ = false;
+  RunRound();
 }
 
 jobs::Now PlacementLoop::CurrentTime() const {
@@ -162,7 +173,9 @@
                                           now.wall_ms - kEndedJobRetentionMs}});
     }
   }
-  const base::Duration took = base::MonotonicClock::now() - now.instant;
+  const base::Instant ended_at = base::MonotonicClock::now();
+  const base::Duration took = ended_at - now.instant;
+  pacer_.RecordRound(ended_at, took);
   ++load_.rounds;
   load_.total += took;
   load_.longest = std::max(load_.longest, took);
--- a/services/scheduler/placement_loop.h
+++ b/services/scheduler/placement_loop.h
@@ -12,6 +12,7 @@
 #include "jobs/dispatcher.h"
 #include "net/event_loop.h"
 #include "services/scheduler/replicated_jobs.h"
+#include "services/scheduler/round_pacer.h"
 #include "services/scheduler/worker_port.h"
 
 namespace wigeonstair::scheduler {
@@ -71,6 +72,7 @@
   void Execute(const jobs::StopAction& action);
   void Execute(const jobs::HoldAction& action);
   void Execute(const jobs::ProposeAction& action);
+  void RunPostedRound();
   void LogDecision(const jobs::Decision& decision);
   void PublishLoad(const jobs::Dispatcher& dispatcher, const jobs::Now& now);
   // Sets a gauge for each reason, and those of other reasons to zero.
@@ -89,6 +91,7 @@
   std::uint64_t led_term_ = 0;
   base::Instant last_job_removal_{};
   base::Instant last_publication_{};
+  RoundPacer pacer_;
   RoundLoad load_;
   // By name and reason.
   std::map<std::pair<std::string, std::string>, base::Gauge*> reason_gauges_;
