Take a worker for ended only once another one answers at its address

A report that was delayed by a partition records a worker that ended long ago, with a higher `born` since clocks differ, at the address of a living worker. All runs of the living worker were given up as "worker_gone" at once and started elsewhere, while it worked on.

Cause: a record of another worker at an address was taken as proof that the former one there has ended.

Change: a removed worker keeps the bound of its leases until a worker answers a hold at its address under its own id. A new worker is asked at once, so the proof takes one call.

Tests: "a late report from the address of a living worker ends no run" failed before (violation "the task is already running") and passes now. In "tasks of a worker whose address another one took start at once" nobody answered at the address, which the new rule treats as silence; there, the new worker now answers, and the bound of 3.5 s is unchanged.

--- a/libraries/jobs/dispatcher.cc
+++ b/libraries/jobs/dispatcher.cc
@@ -109,23 +109,28 @@
   return LeaseBound(now.instant, options_.longest_lease);
 }
 
-// A worker at whose address another one registered, and a former incarnation,
-// have ended.
+// A former incarnation has ended. A worker at whose address another one is
+// recorded may live on: the report of the other one may be late.
 void Dispatcher::DropRemovedWorkers() {
-  std::set<std::string> addresses;
-  for (const auto& [id, description] : store_.workers())
-    addresses.insert(description.address);
   std::erase_if(workers_, [&](const auto& item) {
     const WorkerDescription& old = item.second.description;
     const auto known = store_.workers().find(item.first);
     if (known != store_.workers().end())
       return known->second.incarnation != old.incarnation;
-    if (!addresses.contains(old.address))
-      removed_workers_[old.incarnation] = item.second.lease_bound;
+    removed_workers_[old.incarnation] = {
+        .address = old.address, .lease_bound = item.second.lease_bound};
     return true;
   });
 }
 
+// An address belongs to one worker at a time, so the former ones have ended
+// once one answers there.
+void Dispatcher::EndRemovedWorkersAt(const std::string& address) {
+  std::erase_if(removed_workers_, [&](const auto& item) {
+    return item.second.address == address;
+  });
+}
+
 // Copies the workers of the store. A new incarnation starts with empty state.
 void Dispatcher::SyncWorkers(const Now& now) {
   if (worker_revision_ == store_.worker_revision())
@@ -178,7 +183,8 @@
         run.starts.has_unknown = true;
         run.settled_at = now.instant;
         if (!workers_.contains(run.worker.id))
-          removed_workers_[run.worker] = LongestLeaseBound(now);
+          removed_workers_[run.worker] = {.lease_bound =
+                                              LongestLeaseBound(now)};
       }
     }
   }
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -227,6 +227,13 @@
     std::optional<base::Instant> deregisters_at;
   };
 
+  struct RemovedWorkerRecord {
+    // Empty when a former leader knew the worker.
+    std::string address;
+    // All leases on the worker have expired by then.
+    base::Instant lease_bound;
+  };
+
   // The run that an answered call concerns, and its worker.
   struct AnsweredRun {
     Run& run;
@@ -323,6 +330,7 @@
   void SyncWorkers(const Now& now);
   // Drops the workers that the store no longer has.
   void DropRemovedWorkers();
+  void EndRemovedWorkersAt(const std::string& address);
   // When a lease that was granted by now has expired at the latest.
   base::Instant LongestLeaseBound(const Now& now) const;
   // A fencing token that is higher than all earlier ones.
@@ -523,9 +531,9 @@
   // Number of worker incarnations that were recorded in this term.
   std::uint64_t new_incarnations_ = 0;
   std::map<base::WorkerId, Worker> workers_;
-  // Removed workers that may still run tasks, and when all leases granted to
-  // them have expired. Kept until no start can be carried out late.
-  std::map<WorkerIncarnation, base::Instant> removed_workers_;
+  // Removed workers that may still run tasks. Kept until no start can be
+  // carried out late.
+  std::map<WorkerIncarnation, RemovedWorkerRecord> removed_workers_;
   // Revision of the store's workers at the last SyncWorkers.
   std::uint64_t worker_revision_ = 0;
   std::map<RunKey, Run> runs_;
--- a/libraries/jobs/dispatcher_lists.cc
+++ b/libraries/jobs/dispatcher_lists.cc
@@ -136,6 +136,7 @@
   RecordClock(*worker, answer.lists->clock_ms, now);
   RecordAnswer(*worker, now);
   worker->listed_in_term = true;
+  EndRemovedWorkersAt(worker->description.address);
   worker->next_hold_at = now.instant;
   worker->confirmed_end =
       std::max(worker->confirmed_end, call.acknowledged_end);
@@ -305,7 +306,8 @@
 
 void Dispatcher::ExpireWorkers(const Now& now) {
   std::erase_if(removed_workers_, [&](const auto& item) {
-    return now.instant > LateStartBound(item.second, options_.longest_lease);
+    return now.instant >
+           LateStartBound(item.second.lease_bound, options_.longest_lease);
   });
   for (auto& [id, worker] : workers_) {
     if (now.instant - worker.last_contact_at >= kWorkerExpiry)
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -91,7 +91,7 @@
     return RestartedWorker{};
   const auto removed = removed_workers_.find(run.worker);
   if (removed != removed_workers_.end())
-    return RemovedWorker{.lease_bound = removed->second};
+    return RemovedWorker{.lease_bound = removed->second.lease_bound};
   return EndedWorker{};
 }
 
--- a/libraries/jobs/run_existence.h
+++ b/libraries/jobs/run_existence.h
@@ -68,7 +68,7 @@
   auto operator<=>(const RemovedWorker&) const = default;
 };
 
-// Another worker has its address, or its removal is long past.
+// Another worker answered at its address, or its removal is long past.
 struct EndedWorker {
   auto operator<=>(const EndedWorker&) const = default;
 };
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -257,16 +257,31 @@
   CHECK(simulation.StateOf("a") == JobState::kCompleted);
 }
 
+// Guards against two runs of one task: a worker that had ended long before was
+// recorded at the address of a living one, and the runs there were given up.
+TEST_CASE("a late report from the address of a living worker ends no run") {
+  DispatchSimulation simulation({.workers = 2, .workers_per_rack = 1});
+  simulation.Submit("a", {Step(1, 4, 20'000)});
+  simulation.RunFor(2000);
+  WorkerDescription former =
+      simulation.fleet()
+          .worker(WorkerOf(simulation, {.job = base::JobId("a")}))
+          .description;
+  former.incarnation = {.id = base::WorkerId("former"), .born = 2};
+  simulation.Apply(RecordWorker{.worker = former});
+  simulation.RunFor(30'000);
+  CHECK(simulation.fleet().violations().empty());
+  CHECK(simulation.StateOf("a") == JobState::kCompleted);
+}
+
 TEST_CASE("tasks of a worker whose address another one took start at once") {
   DispatchSimulation simulation({.workers = 2, .workers_per_rack = 1});
   simulation.Submit("a", {Step(1, 4, 3000)});
   simulation.RunFor(2000);
-  FakeFleet::Worker& holder = simulation.fleet().worker(
-      WorkerOf(simulation, {.job = base::JobId("a")}));
-  holder.up = false;
-  WorkerDescription next = holder.description;
-  next.incarnation = {.id = base::WorkerId("next"), .born = 2};
-  simulation.Apply(RecordWorker{.worker = next});
+  const std::size_t holder = WorkerOf(simulation, {.job = base::JobId("a")});
+  simulation.fleet().Replace(holder, base::WorkerId("next"));
+  simulation.Apply(
+      RecordWorker{.worker = simulation.fleet().worker(holder).description});
   simulation.RunFor(3500);
   CHECK(simulation.StateOf("a") == JobState::kCompleted);
 }
--- a/tests/jobs/fake_fleet.cc
+++ b/tests/jobs/fake_fleet.cc
@@ -356,4 +356,9 @@
   worker.description.sequence = 1;
 }
 
+void FakeFleet::Replace(std::size_t index, const base::WorkerId& id) {
+  Restart(index);
+  workers_[index].description.incarnation.id = id;
+}
+
 }  // namespace wigeonstair::jobs
--- a/tests/jobs/fake_fleet.h
+++ b/tests/jobs/fake_fleet.h
@@ -83,6 +83,8 @@
   void Crash(std::size_t worker);
   // Ends all runs and starts a new incarnation.
   void Restart(std::size_t worker);
+  // Ends all runs and starts another worker at the address.
+  void Replace(std::size_t worker, const base::WorkerId& id);
 
   Worker& worker(std::size_t index) { return workers_[index]; }
   std::size_t size() const { return workers_.size(); }
