--- a/tests/jobs/dispatcher_property_test.cc
+++ b/tests/jobs/dispatcher_property_test.cc
@@ -166,13 +166,6 @@
 TEST_CASE("late starts on workers reborn behind cuts run no task twice") {
   for (std::uint64_t seed = 1; seed <= 60; ++seed)
     CheckTasksRunAfterFaults(seed, true, true);
-}
-
-// A worker restarts twice within the time in which a start may be carried out
-// late: a list of the first new life shows that the run is absent there, and
-// the second carries the start out behind a cut.
-TEST_CASE("a late start is not carried out by a life after the proof",
-          "[!mayfail]") {
   CheckTasksRunAfterFaults(176, true, true);
 }
 
