Give the scheduler test a loopback address of its own

Two copies started at once fail the same way: create() returns an error since both listen on 127.0.0.1:18733. That the first failure was such a clash is likely, not shown.

The address now derives from the process id, as in the end-to-end tests; OwnIp moves to tests/own_ip.h. Two copies at once pass, 9 of 9 each.

--- a/tests/end_to_end/test_cluster.cc
+++ b/tests/end_to_end/test_cluster.cc
@@ -19,6 +19,7 @@
 
 #include "settings/cluster_configuration.h"
 #include "settings/json.h"
+#include "tests/own_ip.h"
 #include "tools/json_view.h"
 
 namespace wigeonstair::end_to_end {
@@ -51,14 +52,6 @@
   return handle;
 }
 
-// Differs between test processes that run at the same time, so that they
-// cannot take each other's ports between the search and the start.
-std::string OwnIp() {
-  const int process = getpid();
-  return "127." + std::to_string(1 + process / 250 % 250) + "." +
-         std::to_string(1 + process % 250) + ".1";
-}
-
 }  // namespace
 
 std::string FreeAddress(const std::string& ip) {
--- a/tests/scheduler/placement_loop_test.cc
+++ b/tests/scheduler/placement_loop_test.cc
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "services/scheduler/scheduler_process.h"
+#include "tests/own_ip.h"
 
 namespace wigeonstair::scheduler {
 
@@ -84,9 +85,10 @@
   const TemporaryFolder folder;
   FakeWorkers workers;
   base::CounterRegistry counters;
+  const net::Address address{.ip = OwnIp(), .port = 18'733};
   const SchedulerOptions options{
-      .messages = {.ip = "127.0.0.1", .port = 18'733},
-      .seeds = {"127.0.0.1:18733"},
+      .messages = address,
+      .seeds = {address.ip + ":" + std::to_string(address.port)},
       .start = GroupStart::kNew,
       .data_folder = folder.path.string(),
       .cluster = "t",
