Let a restarted scheduler know how old the placements in its log are

ConfirmStarts now carries the term and the monotonic clock of the leader, and is also written when tasks were only placed. The difference of two stamps of one term is time that has passed since the placements before the first, for whoever replays the log. Time between terms does not count.

Test: 'time that the log shows counts for a host that replays it'; without the stamps its bound is that of the replay.

--- a/libraries/jobs/command.h
+++ b/libraries/jobs/command.h
@@ -176,11 +176,16 @@
 // Runs whose only start call is known to have been executed. Changes no
 // replicated state; each host keeps it in its PlacementHistory.
 struct ConfirmStarts {
+  // The term of the leader that proposed it.
+  std::uint64_t term = 0;
+  // The monotonic clock of that leader, so that a host which replays its log
+  // knows how much time passed between the commands of a term.
+  std::uint64_t leader_ms = 0;
   std::vector<RunKey> runs;
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: cereal's name.
-    archive(runs);
+    archive(term, leader_ms, runs);
   }
 };
 
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -553,6 +553,7 @@
   std::map<TaskRef, std::vector<LostAttempt>> lost_attempts_;
   // Starts whose confirmation is not in the log yet.
   std::vector<RunKey> confirmed_starts_;
+  bool placed_since_confirmation_ = false;
   base::Instant next_confirmation_at_{};
   // Time of the next check of running tasks.
   base::Instant next_sweep_at_{};
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -225,6 +225,7 @@
   keys.reserve(round.placements.size());
   for (const Placement& placement : round.placements)
     keys.push_back({.task = placement.task, .attempt = placement.attempt});
+  placed_since_confirmation_ = true;
   Propose(PlaceTasks{.term = term_, .placements = std::move(round.placements)},
           std::move(keys));
 }
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -459,10 +459,18 @@
 // its successor would hold their tasks as long as if every start could still be
 // carried out late.
 void Dispatcher::ProposeConfirmedStarts(const Now& now) {
-  if (confirmed_starts_.empty() || now.instant < next_confirmation_at_)
+  const bool due = !confirmed_starts_.empty() || placed_since_confirmation_;
+  if (!due || now.instant < next_confirmation_at_)
     return;
   next_confirmation_at_ = now.instant + kConfirmationInterval;
-  Propose(ConfirmStarts{.runs = std::exchange(confirmed_starts_, {})},
+  placed_since_confirmation_ = false;
+  const auto leader_time =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          now.instant.time_since_epoch());
+  Propose(ConfirmStarts{.term = term_,
+                        .leader_ms =
+                            static_cast<std::uint64_t>(leader_time.count()),
+                        .runs = std::exchange(confirmed_starts_, {})},
           std::nullopt);
 }
 
--- a/libraries/jobs/placement_history.cc
+++ b/libraries/jobs/placement_history.cc
@@ -16,6 +16,7 @@
 void PlacementHistory::Reset(base::Instant now) {
   entries_.clear();
   order_.clear();
+  unstamped_.clear();
   unknown_before_ = now;
 }
 
@@ -25,8 +26,11 @@
     for (const Placement& placement : placed->placements) {
       Add({.task = placement.task, .attempt = placement.attempt},
           {.placed_by = now}, now);
+      unstamped_.push_back(
+          {.task = placement.task, .attempt = placement.attempt});
     }
   } else if (const auto* confirmed = std::get_if<ConfirmStarts>(&command)) {
+    AdvanceLogTime(*confirmed, now);
     for (const RunKey& run : confirmed->runs) {
       const auto known = entries_.find(run);
       if (known != entries_.end())
@@ -41,9 +45,12 @@
                                         base::Instant now) const {
   const auto found = entries_.find(run);
   const bool known = found != entries_.end();
-  const base::Instant placed_by =
-      known ? found->second.placed_by
-            : std::max(unknown_before_, now - kRetention);
+  base::Instant placed_by = known ? found->second.placed_by
+                                  : std::max(unknown_before_, now - kRetention);
+  if (known && found->second.log_time) {
+    placed_by = std::min(
+        placed_by, stamp_.seen_at - (log_time_ - *found->second.log_time));
+  }
   const bool confirmed = known && found->second.confirmed;
   return {.sent = 1,
           .has_unknown = !confirmed,
@@ -51,6 +58,22 @@
           .last_sent_at = std::min(now, placed_by + kStartWindow)};
 }
 
+void PlacementHistory::AdvanceLogTime(const ConfirmStarts& command,
+                                      base::Instant now) {
+  if (command.term == stamp_.term && command.leader_ms > stamp_.leader_ms) {
+    log_time_ +=
+        std::chrono::milliseconds(command.leader_ms - stamp_.leader_ms);
+  }
+  stamp_ = {
+      .term = command.term, .leader_ms = command.leader_ms, .seen_at = now};
+  for (const RunKey& run : unstamped_) {
+    const auto entry = entries_.find(run);
+    if (entry != entries_.end())
+      entry->second.log_time = log_time_;
+  }
+  unstamped_.clear();
+}
+
 void PlacementHistory::Add(const RunKey& run,
                            const Entry& entry,
                            base::Instant now) {
--- a/libraries/jobs/placement_history.h
+++ b/libraries/jobs/placement_history.h
@@ -1,9 +1,12 @@
 #ifndef WIGEONSTAIR_LIBRARIES_JOBS_PLACEMENT_HISTORY_H_
 #define WIGEONSTAIR_LIBRARIES_JOBS_PLACEMENT_HISTORY_H_
 
+#include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <utility>
+#include <vector>
 
 #include "base/monotonic_clock.h"
 #include "jobs/command.h"
@@ -14,8 +17,8 @@
 // What this host knows from the replicated log about the start calls of former
 // leaders, so that a new leader holds only those tasks whose starts may still
 // be carried out late. Not replicated and not stored: all times are on the
-// monotonic clock of this host, and after a restart or a snapshot nothing is
-// known.
+// monotonic clock of this host. After a restart, the log tells how much time
+// passed between its commands at least; after a snapshot nothing is known.
 class PlacementHistory {
  public:
   // `now`: all placements that are not recorded were committed before.
@@ -39,15 +42,32 @@
     base::Instant placed_by;
     // Its only start call is known to have been executed.
     bool confirmed = false;
+    // The time of the log at the first stamp after the placement.
+    std::optional<base::Duration> log_time;
+  };
+
+  // The last time of a leader in the log.
+  struct Stamp {
+    std::uint64_t term = 0;
+    std::uint64_t leader_ms = 0;
+    // When this host applied it.
+    base::Instant seen_at;
   };
 
   void Add(const RunKey& run, const Entry& entry, base::Instant now);
   void DropOldEntries(base::Instant now);
+  void AdvanceLogTime(const ConfirmStarts& command, base::Instant now);
 
   base::Instant unknown_before_;
   std::map<RunKey, Entry> entries_;
   // The entries by the time at which they were added.
   std::deque<std::pair<base::Instant, RunKey>> order_;
+  Stamp stamp_;
+  // The time that passed between the stamps of the log, without that between
+  // two terms.
+  base::Duration log_time_{};
+  // Placements since the last stamp.
+  std::vector<RunKey> unstamped_;
 };
 
 }  // namespace wigeonstair::jobs
--- a/tests/jobs/placement_history_test.cc
+++ b/tests/jobs/placement_history_test.cc
@@ -41,6 +41,28 @@
   CHECK(history.StartsOf(Run(2), At(2000)).MayBeCarriedOut());
 }
 
+// Guards against tasks that are held for long because all hosts that saw their
+// placement restarted.
+TEST_CASE("time that the log shows counts for a host that replays it") {
+  const auto stamp = [](std::uint64_t term, std::uint64_t leader_ms) {
+    return ConfirmStarts{.term = term, .leader_ms = leader_ms};
+  };
+  PlacementHistory history(At(50'000));
+  history.Record(stamp(1, 1000), At(50'000));
+  history.Record(Place(1), At(50'000));
+  history.Record(stamp(1, 1300), At(50'000));
+  history.Record(stamp(1, 9300), At(50'000));
+  CHECK(history.StartsOf(Run(1), At(60'000)).last_sent_at ==
+        At(50'000 - 8000 + kWindowMs));
+  // The clocks of two leaders differ.
+  history.Record(stamp(2, 900'000), At(50'000));
+  CHECK(history.StartsOf(Run(1), At(60'000)).last_sent_at ==
+        At(50'000 - 8000 + kWindowMs));
+  history.Record(Place(2), At(50'000));
+  CHECK(history.StartsOf(Run(2), At(60'000)).last_sent_at ==
+        At(50'000 + kWindowMs));
+}
+
 TEST_CASE("placements from before a snapshot may be as recent as it") {
   PlacementHistory history(At(0));
   history.Record(Place(1), At(1000));
