Mend what the review of the waits and rounds found

From a review by somebody who had not seen the work, from reading: - A start is checked against its window again when it is sent, not only when it is decided, since a long round or a suspended process lies between. - Confirmed starts whose proposal failed are proposed again; they were lost with the quorum, the case that they are written for. - The load line of a new term does not count the rounds of an earlier one. - The retention of placements is tied to the window and the limit of late calls by a static_assert. - A worker whose address another one took that never answers had no test of its bound any more; it has one again (10 s for lease, slack and work). - The known failure checks that it reaches its last step.

--- a/libraries/jobs/actions.h
+++ b/libraries/jobs/actions.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/monotonic_clock.h"
 #include "jobs/command.h"
 
 namespace wigeonstair::jobs {
@@ -26,6 +27,8 @@
   std::uint64_t lease_until_ms = 0;
   std::uint64_t term = 0;
   std::uint64_t fencing_token = 0;
+  // The call must not be sent later, on this host's clock.
+  base::Instant send_by;
 
   bool operator==(const StartAction&) const = default;
 };
--- a/libraries/jobs/dispatcher.cc
+++ b/libraries/jobs/dispatcher.cc
@@ -255,6 +255,12 @@
         run->second.settled_at = now.instant;
       }
     }
+  } else if (const auto* confirmed =
+                 std::get_if<PendingConfirmation>(&pending)) {
+    if (!committed) {
+      confirmed_starts_.insert(confirmed_starts_.end(), confirmed->runs.begin(),
+                               confirmed->runs.end());
+    }
   } else {
     const auto& ends = std::get<PendingEnds>(pending);
     for (const RunKey& key : ends.runs) {
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -264,7 +264,13 @@
     std::vector<RunKey> runs;
   };
 
-  using Pending = std::variant<std::vector<RunKey>, PendingEnds>;
+  struct PendingConfirmation {
+    std::vector<RunKey> runs;
+  };
+
+  // The runs of placements, ends or confirmed starts.
+  using Pending =
+      std::variant<std::vector<RunKey>, PendingEnds, PendingConfirmation>;
 
   struct ReadyStep {
     StepRef step;
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -20,7 +20,8 @@
 constexpr base::Duration kNoAnswerPause = std::chrono::seconds(2);
 // How long a worker with a hanging or slow task gets no new tasks.
 constexpr base::Duration kStallPause = std::chrono::seconds(4);
-// Interval of the checks of running tasks; delays a stop by up to this time.
+// Interval of the checks of running tasks; delays a stop by up to this time,
+// and by the pause between two rounds.
 constexpr base::Duration kSweepInterval = std::chrono::milliseconds(50);
 // Lease in a start call; the first hold extends it. It is short so that a start
 // lost in a network partition is in doubt for this time only.
@@ -323,7 +324,8 @@
                                     .checkpoint = GangCheckpoint(key.task),
                                     .lease_until_ms = lease_until_ms,
                                     .term = term_,
-                                    .fencing_token = worker->fencing_token});
+                                    .fencing_token = worker->fencing_token,
+                                    .send_by = run.placed_at + kStartWindow});
 }
 
 // All members of a gang must start from the same checkpoint.
@@ -470,8 +472,8 @@
   Propose(ConfirmStarts{.term = term_,
                         .leader_ms =
                             static_cast<std::uint64_t>(leader_time.count()),
-                        .runs = std::exchange(confirmed_starts_, {})},
-          std::nullopt);
+                        .runs = confirmed_starts_},
+          PendingConfirmation{.runs = std::exchange(confirmed_starts_, {})});
 }
 
 void Dispatcher::OnStopAnswer(const StopAction& call,
--- a/libraries/jobs/placement_history.cc
+++ b/libraries/jobs/placement_history.cc
@@ -10,6 +10,7 @@
 // How long an entry is kept. Starts of older placements cannot be carried out
 // any more, whether they were confirmed or not.
 constexpr base::Duration kRetention = std::chrono::seconds(20);
+static_assert(kRetention > kStartWindow + kLateCallLimit);
 
 }  // namespace
 
--- a/libraries/jobs/run_existence.cc
+++ b/libraries/jobs/run_existence.cc
@@ -6,9 +6,6 @@
 
 namespace {
 
-// A worker may carry out a call that it did not answer up to 12 s after its
-// arrival, which comes within the timeout of the call.
-constexpr base::Duration kLateCallLimit = std::chrono::milliseconds(12'500);
 // A worker's clock may run 2% slow, so its leases last that much longer on this
 // host's clock.
 constexpr double kClockDriftFactor = 1.021;
--- a/libraries/jobs/run_existence.h
+++ b/libraries/jobs/run_existence.h
@@ -18,6 +18,11 @@
 // has forgotten all fencing tokens. Pure functions; all times are on the
 // monotonic clock of this host.
 
+// A worker may carry out a call that it did not answer up to 12 s after its
+// arrival, which comes within the timeout of the call.
+inline constexpr base::Duration kLateCallLimit =
+    std::chrono::milliseconds(12'500);
+
 // No start call of a run is sent later than this after its placement was
 // proposed.
 inline constexpr base::Duration kStartWindow = std::chrono::seconds(5);
--- a/services/scheduler/placement_loop.cc
+++ b/services/scheduler/placement_loop.cc
@@ -121,6 +121,8 @@
                 return;
               }
               led_term_ = term;
+              load_ = {};
+              last_publication_ = base::MonotonicClock::now();
               WithDispatcher(
                   [&](jobs::Dispatcher& dispatcher, const jobs::JobStore&) {
                     dispatcher.Lead(term, options_.jobs->placements(),
@@ -235,7 +237,7 @@
       ScheduleRound();
     });
   };
-  if (!HasLease(action.term))
+  if (!HasLease(action.term) || sent_at > action.send_by)
     return done({.result = jobs::CallResult::kNotSent});
   starts_.Add();
   options_.workers->Start(action, done);
--- a/services/scheduler/round_pacer.cc
+++ b/services/scheduler/round_pacer.cc
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Rounds leave at least two thirds of the event loop to calls, lists and
-// commits.
+// Rounds leave two thirds of the event loop to calls, lists and commits, as
+// long as they take less than half of kLongestPause.
 constexpr int kPauseFactor = 2;
 // A round during which the host was suspended says nothing about the next one.
 constexpr base::Duration kLongestPause = std::chrono::milliseconds(150);
--- a/tests/jobs/dispatcher_test.cc
+++ b/tests/jobs/dispatcher_test.cc
@@ -274,6 +274,21 @@
   CHECK(simulation.StateOf("a") == JobState::kCompleted);
 }
 
+TEST_CASE("a worker whose address a silent one took is given up in time") {
+  DispatchSimulation simulation({.workers = 2, .workers_per_rack = 1});
+  simulation.Submit("a", {Step(1, 4, 3000)});
+  simulation.RunFor(2000);
+  FakeFleet::Worker& holder = simulation.fleet().worker(
+      WorkerOf(simulation, {.job = base::JobId("a")}));
+  holder.up = false;
+  WorkerDescription next = holder.description;
+  next.incarnation = {.id = base::WorkerId("next"), .born = 2};
+  simulation.Apply(RecordWorker{.worker = next});
+  // The longest lease of 6 s, its slack and the work.
+  simulation.RunFor(10'000);
+  CHECK(simulation.StateOf("a") == JobState::kCompleted);
+}
+
 TEST_CASE("tasks of a worker whose address another one took start at once") {
   DispatchSimulation simulation({.workers = 2, .workers_per_rack = 1});
   simulation.Submit("a", {Step(1, 4, 3000)});
--- a/tests/jobs/lost_worker_test.cc
+++ b/tests/jobs/lost_worker_test.cc
@@ -70,8 +70,8 @@
   CHECK(simulation.fleet().starts() == 2);
 }
 
-// A late copy of the start runs in the restarted worker, which the log does not
-// name.
+// The log names the former incarnation of the worker, while a late copy of the
+// start runs in the next one.
 TEST_CASE("a run that moved to a restarted worker is not taken for confirmed") {
   DispatchSimulation simulation({.workers = 2, .workers_per_rack = 1});
   simulation.RunFor(100);
@@ -122,6 +122,7 @@
   simulation.fleet().worker(first).silent = true;
   simulation.fleet().Restart(first);
   simulation.RunFor(7000);
+  REQUIRE(simulation.fleet().Running(task) == 2);
   simulation.Restart(second);
   simulation.RunFor(2000);
   CHECK(simulation.fleet().violations().empty());
