Bound the placements without a stamp under a leader of an older version

From reading the change once more: such a leader writes no stamps, so the list of placements that wait for one would grow without limit. The new check of the existing test holds 1,000 placements without a stamp; without the change it holds all of them (by construction, not run).

--- a/libraries/jobs/placement_history.cc
+++ b/libraries/jobs/placement_history.cc
@@ -92,6 +92,11 @@
     }
     order_.pop_front();
   }
+  // Leaders of versions without ConfirmStarts write no stamps.
+  if (unstamped_.size() > entries_.size()) {
+    std::erase_if(unstamped_,
+                  [&](const RunKey& run) { return !entries_.contains(run); });
+  }
 }
 
 }  // namespace wigeonstair::jobs
--- a/libraries/jobs/placement_history.h
+++ b/libraries/jobs/placement_history.h
@@ -33,8 +33,9 @@
   // shows as placed.
   StartHistory StartsOf(const RunKey& run, base::Instant now) const;
 
-  // For tests.
+  // For tests: the number of placements that it holds.
   std::size_t size() const { return entries_.size(); }
+  std::size_t unstamped_count() const { return unstamped_.size(); }
 
  private:
   struct Entry {
@@ -66,7 +67,8 @@
   // The time that passed between the stamps of the log, without that between
   // two terms.
   base::Duration log_time_{};
-  // Placements since the last stamp.
+  // Placements since the last stamp; not more than entries, but for the last
+  // command.
   std::vector<RunKey> unstamped_;
 };
 
--- a/tests/jobs/placement_history_test.cc
+++ b/tests/jobs/placement_history_test.cc
@@ -78,6 +78,7 @@
   for (std::uint32_t attempt = 1; attempt <= 1000; ++attempt)
     history.Record(Place(attempt), At(attempt * 1000));
   CHECK(history.size() < 30);
+  CHECK(history.unstamped_count() < 30);
   const StartHistory starts = history.StartsOf(Run(1), At(1'000'000));
   CHECK(starts.last_sent_at <= At(1'000'000 - 12'500));
 }
