--- a/libraries/jobs/run_existence.h
+++ b/libraries/jobs/run_existence.h
@@ -36,8 +36,7 @@
   bool has_unknown = false;
   // The worker is known to have executed one, by its clock or a list.
   bool confirmed = false;
-  // When the last one was sent. Former leaders sent theirs before this host
-  // led.
+  // When the last one was sent at the latest.
   base::Instant last_sent_at;
 
   auto operator<=>(const StartHistory&) const = default;
--- a/services/scheduler/placement_loop.h
+++ b/services/scheduler/placement_loop.h
@@ -65,6 +65,8 @@
   void UpdateLeadership();
   void BeginTerm(std::uint64_t term);
   void Resign(std::string_view reason);
+  // Runs the scheduled round, or schedules it again while rounds must pause.
+  void RunPostedRound();
   void RunRound();
   bool HasLease(std::uint64_t term) const;
   void Execute(const jobs::Action& action);
@@ -72,7 +74,6 @@
   void Execute(const jobs::StopAction& action);
   void Execute(const jobs::HoldAction& action);
   void Execute(const jobs::ProposeAction& action);
-  void RunPostedRound();
   void LogDecision(const jobs::Decision& decision);
   void PublishLoad(const jobs::Dispatcher& dispatcher, const jobs::Now& now);
   // Sets a gauge for each reason, and those of other reasons to zero.
