Do not take an unused connection for a kept one in the HTTP client tests

The fake peer served one connection at a time and never read the new one. Change: the fake peer serves connections side by side and counts the requests on kept ones; both tests call until a connection was kept. The check stays exact: every request on a kept connection is repeated, the last on a new one. Content-Length is found without a space as well.

--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -18,6 +18,26 @@
                   .timeout = std::chrono::seconds(5)};
 }
 
+// The library may return an answer before it keeps the connection, so that
+// the next calls still open new ones.
+constexpr int kCallsUntilKept = 1000;
+
+struct CallsUntilFailure {
+  int answered = 0;
+  HttpOutcome last;
+};
+
+CallsUntilFailure CallUntilFailure(HttpClient& client, const HttpCall& call) {
+  CallsUntilFailure calls;
+  while (calls.answered < kCallsUntilKept) {
+    calls.last = client.SendAndWait(call);
+    if (!std::holds_alternative<HttpAnswer>(calls.last))
+      break;
+    ++calls.answered;
+  }
+  return calls;
+}
+
 }  // namespace
 
 // Guards against a "not sent" outcome for a request that reached the peer: a
@@ -55,7 +75,6 @@
   HttpClient client;
   HttpCall call = CallTo(server.address());
   REQUIRE(std::holds_alternative<HttpAnswer>(client.SendAndWait(call)));
-  // The fake serves one connection at a time, so the kept one must go first.
   client.Forget(server.address());
   call.reuse = ConnectionReuse::kFresh;
   CHECK(std::holds_alternative<HttpLost>(client.SendAndWait(call)));
@@ -65,14 +84,20 @@
 // Shows the fault that ConnectionReuse::kFresh exists for. When this fails
 // after a library update, fresh connections may no longer be needed.
 TEST_CASE("the library repeats a request on a kept connection") {
+  RawServer* peer = nullptr;
   RawServer server(
-      [](int number) { return number == 0 ? kOkAnswer : std::string(); },
+      [&](int) {
+        return peer->requests_on_kept() == 0 ? kOkAnswer : std::string();
+      },
       RawServer::AfterAnswer::kKeepOpen);
+  peer = &server;
   HttpClient client;
-  const HttpCall call = CallTo(server.address());
-  REQUIRE(std::holds_alternative<HttpAnswer>(client.SendAndWait(call)));
-  CHECK(std::holds_alternative<HttpLost>(client.SendAndWait(call)));
-  CHECK(server.requests() == 3);
+  const CallsUntilFailure calls =
+      CallUntilFailure(client, CallTo(server.address()));
+  CHECK(std::holds_alternative<HttpLost>(calls.last));
+  CHECK(server.requests_on_kept() >= 1);
+  // Each request on a kept connection is repeated, the last on a new one.
+  CHECK(server.requests() == calls.answered + server.requests_on_kept() + 1);
 }
 
 // Guards against a task that starts twice: the repeat of a request that was
@@ -81,8 +106,8 @@
 TEST_CASE("a refused repeat of a request does not count as not sent") {
   RawServer* peer = nullptr;
   RawServer server(
-      [&](int number) {
-        if (number == 0)
+      [&](int) {
+        if (peer->requests_on_kept() == 0)
           return std::string(kOkAnswer);
         peer->StopListening();
         return std::string();
@@ -91,9 +116,10 @@
   peer = &server;
   HttpClient client;
   const HttpCall call = CallTo(server.address());
-  REQUIRE(std::holds_alternative<HttpAnswer>(client.SendAndWait(call)));
-  CHECK(std::holds_alternative<HttpLost>(client.SendAndWait(call)));
-  CHECK(server.requests() == 2);
+  const CallsUntilFailure calls = CallUntilFailure(client, call);
+  CHECK(std::holds_alternative<HttpLost>(calls.last));
+  CHECK(server.requests_on_kept() >= 1);
+  CHECK(server.requests() == calls.answered + server.requests_on_kept());
   // Without a kept connection the refusal is certain again.
   client.Forget(server.address());
   CHECK(std::holds_alternative<HttpNotSent>(client.SendAndWait(call)));
--- a/tests/net/raw_server.cc
+++ b/tests/net/raw_server.cc
@@ -7,7 +7,11 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <mutex>
+#include <string_view>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 namespace wigeonstair::net {
 
@@ -21,9 +25,10 @@
   while (!stopping) {
     const std::size_t end = received.find("\r\n\r\n");
     if (end != std::string::npos) {
-      const std::size_t field = received.find("Content-Length: ");
+      const std::string_view name = "Content-Length:";
+      const std::size_t field = received.find(name);
       const std::size_t length =
-          field < end ? std::stoul(received.substr(field + 16)) : 0;
+          field < end ? std::stoul(received.substr(field + name.size())) : 0;
       if (received.size() >= end + 4 + length)
         return true;
     }
@@ -47,7 +52,8 @@
   sockaddr_in name{};
   name.sin_family = AF_INET;
   name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::bind(listener_, reinterpret_cast<sockaddr*>(&name), sizeof(name));
+  std::ignore =
+      ::bind(listener_, reinterpret_cast<sockaddr*>(&name), sizeof(name));
   listen(listener_, 16);
   socklen_t length = sizeof(name);
   getsockname(listener_, reinterpret_cast<sockaddr*>(&name), &length);
@@ -72,6 +78,7 @@
 }
 
 void RawServer::Serve() {
+  std::vector<std::thread> connections;
   while (!stopping_ && listener_ >= 0) {
     pollfd poller{.fd = listener_, .events = POLLIN, .revents = 0};
     if (poll(&poller, 1, kPollMilliseconds) <= 0)
@@ -79,14 +86,24 @@
     const int connection = accept(listener_, nullptr, nullptr);
     if (connection < 0)
       continue;
-    ServeConnection(connection);
-    close(connection);
+    connections.emplace_back([this, connection] {
+      ServeConnection(connection);
+      close(connection);
+    });
   }
+  for (std::thread& connection : connections)
+    connection.join();
 }
 
 void RawServer::ServeConnection(int connection) {
+  bool kept = false;
   while (ReadRequest(connection, stopping_)) {
-    const std::string answer = script_(requests_.fetch_add(1));
+    const std::string answer = [&] {
+      std::lock_guard lock(script_mutex_);
+      if (std::exchange(kept, true))
+        ++requests_on_kept_;
+      return script_(requests_.fetch_add(1));
+    }();
     if (answer.empty())
       return;
     [[maybe_unused]] const ssize_t written =
--- a/tests/net/raw_server.h
+++ b/tests/net/raw_server.h
@@ -4,17 +4,19 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <mutex>
 #include <string>
 #include <thread>
 
 namespace wigeonstair::net {
 
 // A fake TCP peer that answers with prepared bytes, so that tests can send what
-// no well-behaved HTTP server sends. It serves one connection after the other.
+// no well-behaved HTTP server sends. It serves each connection in a thread.
 class RawServer {
  public:
   // Receives the number of requests seen before and returns the bytes to send;
-  // after an empty text the connection is closed without an answer.
+  // after an empty text the connection is closed without an answer. Runs for
+  // one request at a time.
   using Script = std::function<std::string(int request_number)>;
 
   enum class AfterAnswer { kKeepOpen, kClose };
@@ -22,21 +24,25 @@
   RawServer(Script script, AfterAnswer after_answer);
   ~RawServer();
 
-  // Refuses further connections; the open one is served on. For scripts.
+  // Refuses further connections; the open ones are served on. For scripts.
   void StopListening();
 
   std::string address() const;
   int requests() const { return requests_.load(); }
+  // The requests on a connection that had carried one before.
+  int requests_on_kept() const { return requests_on_kept_.load(); }
 
  private:
   void Serve();
   void ServeConnection(int connection);
 
   Script script_;
+  std::mutex script_mutex_;
   AfterAnswer after_answer_;
   std::atomic<int> listener_{-1};
   std::uint16_t port_ = 0;
   std::atomic<int> requests_{0};
+  std::atomic<int> requests_on_kept_{0};
   std::atomic<bool> stopping_{false};
   std::thread thread_;
 };
