Count a start as confirmed only once each of its calls has an outcome

Cause: a list could confirm a run while its start call was open, and the log recorded it as confirmed although the client repeated the call after that; and the repeat of a call to a worker that restarted in the meantime, which is what closes connections, was not counted at all. Change: StartHistory counts open and repeated calls beside those sent (the patience of kMaximumStarts counts calls, as before); an answer closes its call whatever has become of the run, and the start is noted as confirmed after that. In the HTTP client every lost call carries the mark, the deadline claims the outcome before it reads the mark, a failed repeat is reported as lost, and only the client whose connection was closed is dropped. The fake peer shuts its listener down, so that a repeat is refused, not reset.

--- a/libraries/jobs/actions.h
+++ b/libraries/jobs/actions.h
@@ -94,9 +94,9 @@
   CallResult result = CallResult::kUnanswered;
   // The worker's clock at the answer; empty without an answer.
   std::optional<std::uint64_t> clock_ms;
-  // The call was sent twice, or may have been, and this answers the second
-  // copy. The worker may execute the first one before or after it.
-  bool may_be_to_repeat = false;
+  // The call was sent twice, or may have been. The worker may execute either
+  // copy later.
+  bool may_be_repeated = false;
 };
 
 // An active run in the list of a worker.
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -387,6 +387,7 @@
   void SendStop(const RunKey& key, Run& run, const Now& now);
   bool MayStart(const RunKey& key, const Run& run, const Now& now) const;
   // Notes that the only start of a run was executed, for the next leader.
+  void CloseStartCall(const StartAction& call, bool repeated);
   void NoteConfirmedStart(const RunKey& key, const Run& run);
   // Writes the noted starts to the log, many at a time.
   void ProposeConfirmedStarts(const Now& now);
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -312,6 +312,7 @@
     RecordDecision("start", key, run.worker, run.remote ? "other_rack" : "room",
                    now, now.instant - worker->last_contact_at);
   ++run.starts.sent;
+  ++run.starts.open;
   run.starts.last_sent_at = now.instant;
   run.call_in_flight = true;
   if (!run.first_sent_at)
@@ -389,11 +390,7 @@
 void Dispatcher::OnStartAnswer(const StartAction& call,
                                const CallAnswer& answer,
                                const Now& now) {
-  const auto started = runs_.find(call.run);
-  if (answer.may_be_to_repeat && started != runs_.end() &&
-      started->second.worker == call.worker) {
-    ++started->second.starts.sent;
-  }
+  CloseStartCall(call, answer.may_be_repeated);
   const auto answered = FindAnswered(call, RunPhase::kStarting, answer, now);
   if (!answered)
     return;
@@ -452,6 +449,19 @@
   }
 }
 
+// A list may have confirmed the start before.
+void Dispatcher::CloseStartCall(const StartAction& call, bool repeated) {
+  const auto found = runs_.find(call.run);
+  if (found == runs_.end() || call.term != term_ ||
+      found->second.starts.open == 0)
+    return;
+  StartHistory& starts = found->second.starts;
+  --starts.open;
+  if (repeated)
+    ++starts.repeated;
+  NoteConfirmedStart(call.run, found->second);
+}
+
 // A restarted worker may carry out the start after the log named its former
 // incarnation, so only runs on the recorded one count.
 void Dispatcher::NoteConfirmedStart(const RunKey& key, const Run& run) {
--- a/libraries/jobs/run_existence.cc
+++ b/libraries/jobs/run_existence.cc
@@ -61,7 +61,7 @@
   // of its lost member has expired. A worker that lives lists the end at once,
   // and the only start was executed.
   bool HasEndedWithGang(const RecordedWorker& worker) const {
-    return worker.gang_broken_at && starts.confirmed && starts.sent == 1 &&
+    return worker.gang_broken_at && starts.confirmed && starts.IsSingle() &&
            worker.answered_at <= *worker.gang_broken_at &&
            now - *worker.gang_broken_at > kGangEndDelay;
   }
@@ -93,7 +93,7 @@
 }
 
 bool RefusalProvesAbsence(const StartHistory& starts) {
-  return starts.sent == 1 && !starts.has_unknown;
+  return starts.IsSingle() && !starts.has_unknown;
 }
 
 bool ListProvesAbsence(const ListWithoutRun& list,
--- a/libraries/jobs/run_existence.h
+++ b/libraries/jobs/run_existence.h
@@ -29,9 +29,12 @@
 
 // The start calls of one attempt, as far as this leader knows them.
 struct StartHistory {
-  // Calls that may have reached the worker, with those that the connection
-  // repeated.
+  // Calls that may have reached the worker.
   int sent = 0;
+  // Calls of these that were sent twice.
+  int repeated = 0;
+  // Calls of these without an outcome; each may still be repeated.
+  int open = 0;
   // A former leader may have sent more.
   bool has_unknown = false;
   // The worker is known to have executed one, by its clock or a list.
@@ -41,10 +44,13 @@
 
   auto operator<=>(const StartHistory&) const = default;
 
+  // Whether this leader sent exactly one copy.
+  bool IsSingle() const { return sent == 1 && repeated == 0 && open == 0; }
+
   // Whether a copy of the start may still be carried out. The only copy of an
   // executed start cannot be carried out again.
   bool MayBeCarriedOut() const {
-    return sent > 0 && !(confirmed && sent == 1 && !has_unknown);
+    return sent > 0 && !(confirmed && IsSingle() && !has_unknown);
   }
 };
 
--- a/libraries/net/http.h
+++ b/libraries/net/http.h
@@ -50,9 +50,8 @@
 // A complete answer: the whole body arrived.
 struct HttpAnswer {
   HttpResponse response;
-  // The request was sent again because its connection was closed, or may have
-  // been; the peer may also have received an earlier copy.
-  bool may_be_to_repeat = false;
+  // More than one copy of the request may have reached the peer.
+  bool may_be_repeated = false;
 };
 
 // No byte of the request can have reached the peer.
--- a/libraries/net/http_client.cc
+++ b/libraries/net/http_client.cc
@@ -33,9 +33,9 @@
 // cpprestsdk writes the request only after the handshake.
 constexpr std::string_view kHandshakeFailure = "Error in SSL handshake";
 
-// A kept connection was closed, and the body cannot be read again to repeat the
-// request. The second text is also reported after the headers were written.
-constexpr std::string_view kKeptConnectionClosed[] = {
+// The texts for a kept connection that was closed, before or after the peer
+// received the request. The second one comes from new connections as well.
+constexpr std::string_view kConnectionClosed[] = {
     "cannot rewind input stream", "Failed to write request headers"};
 
 // The connection was closed before the first byte of an answer.
@@ -68,10 +68,12 @@
   // An earlier copy of the request may have reached the peer.
   std::atomic<bool> may_be_repeated{false};
 
+  // Whether the caller may report the outcome.
+  bool Claim() { return !reported.exchange(true); }
+
   void Report(HttpOutcome outcome) {
-    if (reported.exchange(true))
-      return;
-    done(std::move(outcome));
+    if (Claim())
+      done(std::move(outcome));
   }
 };
 
@@ -101,13 +103,21 @@
   return request;
 }
 
+HttpLost Lost(const PendingCall& pending, base::Error error) {
+  return {.error = std::move(error),
+          .may_be_repeated = pending.may_be_repeated};
+}
+
 void StartDeadline(const std::shared_ptr<PendingCall>& pending) {
   pending->deadline =
       HttpTimers::Shared().Start(pending->call.timeout, [pending] {
-        pending->Report(HttpLost{
-            .error = ClientError(pending->call, base::ErrorCode::kTimeout,
-                                 "no complete answer within the time limit"),
-            .may_be_repeated = pending->may_be_repeated});
+        // Claimed before the outcome is built: no repeat begins after that.
+        if (pending->Claim()) {
+          pending->done(
+              Lost(*pending,
+                   ClientError(pending->call, base::ErrorCode::kTimeout,
+                               "no complete answer within the time limit")));
+        }
         pending->cancellation.cancel();
       });
 }
@@ -133,8 +143,7 @@
         "does this to plain HTTP (" +
         text + ")";
   }
-  return HttpLost{.error = std::move(error),
-                  .may_be_repeated = pending.may_be_repeated};
+  return Lost(pending, std::move(error));
 }
 
 HttpOutcome ConvertAnswer(const PendingCall& pending,
@@ -143,8 +152,8 @@
                           std::size_t limit) {
   const HttpCall& call = pending.call;
   if (body.size() > limit) {
-    return HttpLost{ClientError(call, base::ErrorCode::kResourceLimit,
-                                "the answer is larger than the limit")};
+    return Lost(pending, ClientError(call, base::ErrorCode::kResourceLimit,
+                                     "the answer is larger than the limit"));
   }
   HttpResponse converted;
   converted.status = response.status_code();
@@ -155,11 +164,11 @@
                         converted.status != 304;
   if (has_body && response.headers().has("Content-Length") &&
       response.headers().content_length() != body.size()) {
-    return HttpLost{ClientError(call, base::ErrorCode::kCorruptData,
-                                "the answer is shorter than its length")};
+    return Lost(pending, ClientError(call, base::ErrorCode::kCorruptData,
+                                     "the answer is shorter than its length"));
   }
   return HttpAnswer{.response = std::move(converted),
-                    .may_be_to_repeat = pending.may_be_repeated};
+                    .may_be_repeated = pending.may_be_repeated};
 }
 
 }  // namespace
@@ -174,9 +183,10 @@
   // Notes whether the library may repeat the request.
   std::shared_ptr<http_client> ClientFor(PendingCall& pending);
   void Run(const std::shared_ptr<PendingCall>& pending);
-  // Sends the request once more, on a new connection, when its kept one had
-  // been closed. Returns whether it did.
+  // Sends the request once more when the connection that `used` took had been
+  // closed. Returns whether it did.
   bool Repeat(const std::shared_ptr<PendingCall>& pending,
+              const std::shared_ptr<http_client>& used,
               const std::exception& failure);
 };
 
@@ -232,7 +242,7 @@
           outcome = ConvertAnswer(*pending, *response, body.get(), limit);
         } catch (const std::exception& exception) {
           const std::shared_ptr<Implementation> self = weak.lock();
-          if (self && self->Repeat(pending, exception))
+          if (self && self->Repeat(pending, client, exception))
             return;
           outcome = ConvertFailure(*pending, exception);
         }
@@ -243,18 +253,26 @@
 
 bool HttpClient::Implementation::Repeat(
     const std::shared_ptr<PendingCall>& pending,
+    const std::shared_ptr<http_client>& used,
     const std::exception& failure) {
   const HttpCall& call = pending->call;
-  if (call.reuse == ConnectionReuse::kFresh || pending->reported ||
-      !StartsWithOneOf(failure.what(), kKeptConnectionClosed) ||
-      pending->may_be_repeated.exchange(true)) {
+  if (call.reuse == ConnectionReuse::kFresh ||
+      !StartsWithOneOf(failure.what(), kConnectionClosed) ||
+      pending->may_be_repeated.exchange(true) || pending->reported) {
     return false;
   }
+  // The other connections that `used` keeps are probably closed too.
   {
     std::lock_guard lock(mutex);
-    clients.erase(BaseUri(call));
+    const auto kept = clients.find(BaseUri(call));
+    if (kept != clients.end() && kept->second == used)
+      clients.erase(kept);
+  }
+  try {
+    Run(pending);
+  } catch (const std::exception&) {
+    return false;
   }
-  Run(pending);
   return true;
 }
 
--- a/tests/jobs/dispatch_simulation.cc
+++ b/tests/jobs/dispatch_simulation.cc
@@ -124,6 +124,12 @@
     return answer({.result = CallResult::kUnanswered}, kCallTimeoutMs);
   if (worker->unreachable)
     return answer({.result = CallResult::kNotSent}, kCallMs);
+  if (!worker->copies_after_ms.empty()) {
+    for (const std::uint64_t delay_ms : worker->copies_after_ms)
+      ScheduleAfter(delay_ms, [this, call] { fleet_.Start(call); });
+    return answer({.result = CallResult::kUnanswered, .may_be_repeated = true},
+                  kCallTimeoutMs);
+  }
   if (worker->late_first_copy_ms > 0) {
     ScheduleAfter(worker->late_first_copy_ms,
                   [this, call] { fleet_.Start(call); });
@@ -131,7 +137,7 @@
                       .clock_ms = fleet_.ClockOf(*worker)};
     if (worker->accepts_repeats)
       result = fleet_.Start(call);
-    result.may_be_to_repeat = true;
+    result.may_be_repeated = true;
     return answer(result, kCallMs);
   }
   const double draw = static_cast<double>(random_.Below(10'000)) / 10'000;
@@ -146,7 +152,7 @@
     CallAnswer result = fleet_.Start(call);
     if (fleet_.Find(call.worker.id)->refuses_repeats) {
       result.result = CallResult::kUnhealthy;
-      result.may_be_to_repeat = true;
+      result.may_be_repeated = true;
     }
     if (draw < options_.late_starts + options_.lost_answers)
       answer({.result = CallResult::kUnanswered}, kCallTimeoutMs);
--- a/tests/jobs/fake_fleet.h
+++ b/tests/jobs/fake_fleet.h
@@ -50,14 +50,18 @@
     std::uint64_t late_start_ms = 0;
     // Nothing can be sent to it.
     bool unreachable = false;
-    // Its HTTP library repeats each start, and the worker refuses the repeat as
-    // unhealthy.
+    // The HTTP client of the caller repeats each start, and the worker refuses
+    // the repeat as unhealthy.
     bool refuses_repeats = false;
-    // Its HTTP library repeats each start; the repeat is refused for want of
-    // room, and the first copy is carried out after this time; 0 when not.
+    // The HTTP client of the caller repeats each start; the repeat is refused
+    // for want of room, and the first copy is carried out after this time; 0
+    // when not.
     std::uint64_t late_first_copy_ms = 0;
     // With `late_first_copy_ms`: the repeat is accepted instead.
     bool accepts_repeats = false;
+    // The HTTP client of the caller repeats each start: the copies are carried
+    // out after these times, and no answer arrives.
+    std::vector<std::uint64_t> copies_after_ms;
     // The rows of its ends, or of its runs, cannot be decoded.
     bool malformed_ends = false;
     bool malformed_runs = false;
--- a/tests/jobs/lost_worker_test.cc
+++ b/tests/jobs/lost_worker_test.cc
@@ -13,6 +13,12 @@
 constexpr std::uint64_t kSlackMs = 1000;
 constexpr std::uint64_t kLateCallMs = 12'500;
 
+void CarryOutCopiesAfter(DispatchSimulation& simulation,
+                         const std::vector<std::uint64_t>& times_ms) {
+  for (std::size_t i = 0; i < simulation.fleet().size(); ++i)
+    simulation.fleet().worker(i).copies_after_ms = times_ms;
+}
+
 }  // namespace
 
 // Guards against tasks that stand beside free workers (LOST): a new leader took
@@ -52,6 +58,54 @@
   CHECK(simulation.fleet().Running(task) == 1);
 }
 
+// The same when a list shows the run before the call has an outcome, and a new
+// leader knows of the start from the log only.
+TEST_CASE("a list does not confirm a start whose call is open") {
+  const int offset_ms = GENERATE(range(0, 1500, 50));
+  INFO(offset_ms);
+  DispatchSimulation simulation({.workers = 3, .workers_per_rack = 1});
+  simulation.Submit("b", {Step(3, 2, 60'000)});
+  simulation.RunFor(1000 + static_cast<std::uint64_t>(offset_ms));
+  CarryOutCopiesAfter(simulation, {1, 11'000});
+  simulation.Submit("a", {Step(1, 2, 60'000)});
+  simulation.RunFor(100);
+  CarryOutCopiesAfter(simulation, {});
+  const TaskRef task{.job = base::JobId("a")};
+  REQUIRE(simulation.fleet().Running(task) == 1);
+  const std::size_t holder = WorkerOf(simulation, task);
+  simulation.RunFor(1200);
+  simulation.ChangeLeader();
+  simulation.RunFor(100);
+  simulation.fleet().worker(holder).silent = true;
+  simulation.fleet().Restart(holder);
+  simulation.RunFor(kLateCallMs);
+  CHECK(simulation.fleet().violations().empty());
+  CHECK(simulation.fleet().Running(task) == 1);
+}
+
+// The same when the restart of the worker closed the connection.
+TEST_CASE("a repeat that the next incarnation executes is counted") {
+  DispatchSimulation simulation({.workers = 2, .workers_per_rack = 1});
+  simulation.RunFor(100);
+  CarryOutCopiesAfter(simulation, {60, 11'000});
+  simulation.Submit("a", {Step(1, 4, 60'000)});
+  simulation.RunFor(30);
+  const TaskRef task{.job = base::JobId("a")};
+  const std::size_t holder = WorkerOf(simulation, task);
+  simulation.fleet().Restart(holder);
+  CarryOutCopiesAfter(simulation, {});
+  simulation.RunFor(70);
+  simulation.Apply(
+      RecordWorker{.worker = simulation.fleet().worker(holder).description});
+  simulation.RunFor(900);
+  REQUIRE(simulation.fleet().Running(task) == 1);
+  simulation.fleet().worker(holder).silent = true;
+  simulation.fleet().Restart(holder);
+  simulation.RunFor(kLateCallMs);
+  CHECK(simulation.fleet().violations().empty());
+  CHECK(simulation.fleet().Running(task) == 1);
+}
+
 // The same for each further leader, which must not begin the wait anew.
 TEST_CASE("leader changes do not prolong the wait for an old start") {
   DispatchSimulation simulation({.workers = 2, .workers_per_rack = 1});
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -118,14 +118,14 @@
   while (!repeated && answered < kCallsUntilKept) {
     const HttpOutcome outcome = client.SendAndWait(CallTo(server.address()));
     REQUIRE(std::holds_alternative<HttpAnswer>(outcome));
-    repeated = std::get<HttpAnswer>(outcome).may_be_to_repeat;
+    repeated = std::get<HttpAnswer>(outcome).may_be_repeated;
     ++answered;
     CHECK(server.requests() == answered + (repeated ? 1 : 0));
   }
   CHECK(repeated);
   const HttpOutcome next = client.SendAndWait(CallTo(server.address()));
   REQUIRE(std::holds_alternative<HttpAnswer>(next));
-  CHECK_FALSE(std::get<HttpAnswer>(next).may_be_to_repeat);
+  CHECK_FALSE(std::get<HttpAnswer>(next).may_be_repeated);
 }
 
 // Guards against a task that starts twice: the repeat of a request that was
--- a/tests/net/raw_server.cc
+++ b/tests/net/raw_server.cc
@@ -69,8 +69,11 @@
 
 void RawServer::StopListening() {
   const int listener = listener_.exchange(-1);
-  if (listener >= 0)
-    close(listener);
+  if (listener < 0)
+    return;
+  // A poll in another thread would keep the closed socket listening.
+  shutdown(listener, SHUT_RDWR);
+  close(listener);
 }
 
 std::string RawServer::address() const {
