Keep the resources in use of each worker with the index of runs

Each placement round walked all runs and looked up the worker of each by its text id to sum what they hold: 17 % of Tick in the profile.

--- a/libraries/jobs/dispatcher.cc
+++ b/libraries/jobs/dispatcher.cc
@@ -108,6 +108,22 @@
              : &found->second;
 }
 
+void Dispatcher::IndexRun(const RunKey& key, const Run& run) {
+  RunsOfWorker& of_worker = runs_by_worker_[run.worker];
+  if (of_worker.runs.emplace(key, &run).second)
+    of_worker.in_use += run.resources;
+}
+
+void Dispatcher::UnindexRun(const RunKey& key, const Run& run) {
+  const auto of_worker = runs_by_worker_.find(run.worker);
+  if (of_worker == runs_by_worker_.end())
+    return;
+  if (of_worker->second.runs.erase(key) > 0)
+    of_worker->second.in_use -= run.resources;
+  if (of_worker->second.runs.empty())
+    runs_by_worker_.erase(of_worker);
+}
+
 base::Instant Dispatcher::LongestLeaseBound(const Now& now) const {
   return LeaseBound(now.instant, options_.longest_lease);
 }
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -16,6 +16,7 @@
 #include "base/monotonic_clock.h"
 #include "jobs/actions.h"
 #include "jobs/api.h"
+#include "jobs/decision.h"
 #include "jobs/job_store.h"
 #include "jobs/placement_history.h"
 #include "jobs/planner.h"
@@ -42,28 +43,6 @@
   base::Duration heartbeat = std::chrono::milliseconds(1500);
 };
 
-// A decision and its reason, for the log.
-struct Decision {
-  std::string_view kind;
-  TaskRef task;
-  std::uint32_t attempt = 0;
-  WorkerIncarnation worker;
-  std::string reason;
-  base::Duration input_age{};
-  // Start calls sent for this attempt so far.
-  int starts_sent = 0;
-  // Until all leases of the worker have expired on this host's clock; negative
-  // afterwards, empty when the worker is not known.
-  std::optional<base::Duration> lease_left;
-};
-
-struct Now {
-  // Monotonic time, for leases and timeouts.
-  base::Instant instant;
-  // Milliseconds since the Unix epoch, for due times and records.
-  std::uint64_t wall_ms = 0;
-};
-
 // Places, starts, stops and supervises tasks while this host leads the group.
 // Performs no I/O: the owner passes in events with the current time and
 // executes the actions in order. A start is sent only after its placement is
@@ -185,6 +164,13 @@
     std::string checkpoint;
   };
 
+  // Part of the index of `runs_`.
+  struct RunsOfWorker {
+    std::map<RunKey, const Run*> runs;
+    // The sum of their resources.
+    Resources in_use;
+  };
+
   struct Worker {
     WorkerDescription description;
     // Time of the last heartbeat or answer.
@@ -338,6 +324,9 @@
                       base::Duration input_age = {});
   Worker* FindWorker(const WorkerIncarnation& incarnation);
   const Worker* FindWorker(const WorkerIncarnation& incarnation) const;
+  // Keep `runs_by_worker_` in step with `runs_`.
+  void IndexRun(const RunKey& key, const Run& run);
+  void UnindexRun(const RunKey& key, const Run& run);
   void SyncWorkers(const Now& now);
   // Drops the workers that the store no longer has.
   void DropRemovedWorkers();
@@ -555,7 +544,7 @@
   std::map<RunKey, Run> runs_;
   // Index of `runs_` by worker, since an answer of a worker concerns only its
   // own runs.
-  std::map<WorkerIncarnation, std::set<RunKey>> runs_by_worker_;
+  std::map<WorkerIncarnation, RunsOfWorker> runs_by_worker_;
   std::map<TaskRef, std::vector<LostAttempt>> lost_attempts_;
   // Starts whose confirmation is not in the log yet.
   std::vector<RunKey> confirmed_starts_;
--- a/libraries/jobs/dispatcher_lists.cc
+++ b/libraries/jobs/dispatcher_lists.cc
@@ -80,13 +80,14 @@
 }
 
 bool Dispatcher::HasStartedRuns(const WorkerIncarnation& worker) const {
-  const auto runs = runs_by_worker_.find(worker);
-  return runs != runs_by_worker_.end() &&
-         std::any_of(
-             runs->second.begin(), runs->second.end(), [&](const RunKey& key) {
-               const Run& run = runs_.at(key);
-               return run.starts.sent > 0 && run.phase != RunPhase::kProposed;
-             });
+  const auto found = runs_by_worker_.find(worker);
+  if (found == runs_by_worker_.end())
+    return false;
+  const auto& runs = found->second.runs;
+  return std::any_of(runs.begin(), runs.end(), [](const auto& item) {
+    return item.second->starts.sent > 0 &&
+           item.second->phase != RunPhase::kProposed;
+  });
 }
 
 void Dispatcher::SendHold(Worker& worker,
@@ -205,14 +206,13 @@
       runs_by_worker_.find(worker.description.incarnation);
   if (expected_here == runs_by_worker_.end())
     return;
-  for (const RunKey& key : expected_here->second) {
-    const Run& run = runs_.at(key);
+  for (const auto& [key, run] : expected_here->second.runs) {
     const bool expected =
-        run.phase == RunPhase::kRunning ||
-        (run.phase == RunPhase::kStopping && run.stop_accepted);
+        run->phase == RunPhase::kRunning ||
+        (run->phase == RunPhase::kStopping && run->stop_accepted);
     if (expected && !listed.contains(key) &&
         ListProvesAbsence({.requested_at = sent_at,
-                           .settled_at = run.settled_at,
+                           .settled_at = run->settled_at,
                            .has_more_ends = lists.has_more_ends,
                            .has_malformed_rows = lists.malformed_rows > 0},
                           options_.longest_lease)) {
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -20,11 +20,9 @@
 
 std::vector<CandidateWorker> Dispatcher::CandidateWorkers(
     const Now& now) const {
-  std::map<WorkerIncarnation, Resources> resources_in_use;
-  for (const auto& [key, run] : runs_)
-    resources_in_use[run.worker] += run.resources;
   const std::set<base::DomainId> silent = UnresponsiveDomains(now);
   std::vector<CandidateWorker> workers;
+  workers.reserve(workers_.size());
   for (const auto& [id, worker] : workers_) {
     const WorkerDescription& description = worker.description;
     if (UnusableReason(worker, silent, now))
@@ -36,9 +34,9 @@
                               .capacity = description.capacity,
                               .free = description.capacity,
                               .penalty = worker.failures};
-    const auto used = resources_in_use.find(description.incarnation);
-    if (used != resources_in_use.end())
-      candidate.free -= used->second;
+    const auto used = runs_by_worker_.find(description.incarnation);
+    if (used != runs_by_worker_.end())
+      candidate.free -= used->second.in_use;
     workers.push_back(std::move(candidate));
   }
   return workers;
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -62,17 +62,12 @@
   const RunKey key{.task = placement.task, .attempt = placement.attempt};
   if (const auto old = runs_.find(key); old != runs_.end())
     EraseRun(old);
-  runs_by_worker_[run.worker].insert(key);
-  runs_.emplace(key, std::move(run));
+  const auto added = runs_.emplace(key, std::move(run)).first;
+  IndexRun(key, added->second);
 }
 
 void Dispatcher::EraseRun(std::map<RunKey, Run>::iterator run) {
-  const auto others = runs_by_worker_.find(run->second.worker);
-  if (others != runs_by_worker_.end()) {
-    others->second.erase(run->first);
-    if (others->second.empty())
-      runs_by_worker_.erase(others);
-  }
+  UnindexRun(run->first, run->second);
   runs_.erase(run);
 }
 
@@ -110,12 +105,9 @@
                                  const WorkerIncarnation& successor,
                                  const Now& now) {
   RecordDecision("move", key, run.worker, "worker_restarted", now);
-  std::set<RunKey>& former = runs_by_worker_[run.worker];
-  former.erase(key);
-  if (former.empty())
-    runs_by_worker_.erase(run.worker);
-  runs_by_worker_[successor].insert(key);
+  UnindexRun(key, run);
   run.worker = successor;
+  IndexRun(key, run);
   run.phase = RunPhase::kRunning;
   run.call_in_flight = false;
   run.stop_accepted = false;
