Find candidate workers without maps of their positions

Each claimed step, each preemption and each round with reservations built a map of all candidates by their text ids. The candidates are in order of their incarnations, so a binary search finds one, and the allocations of a round come from the index of runs by worker. The planner's reservations do not depend on the order of the allocations: ties end at the same time.

--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -468,6 +468,7 @@
   // dispatcher_admission.cc
   void PlaceRound(const Now& now);
   static Shape ShapeOf(const ReadyStep& ready, RackRule rule);
+  // The workers that may get tasks, in order of their incarnations.
   std::vector<CandidateWorker> CandidateWorkers(const Now& now) const;
   // The resources that current runs hold on `workers`.
   std::vector<Allocation> Allocations(
--- a/libraries/jobs/dispatcher_preempt.cc
+++ b/libraries/jobs/dispatcher_preempt.cc
@@ -35,12 +35,17 @@
   return low;
 }
 
-std::map<WorkerIncarnation, std::size_t> PositionsOf(
-    const std::vector<CandidateWorker>& workers) {
-  std::map<WorkerIncarnation, std::size_t> positions;
-  for (std::size_t i = 0; i < workers.size(); ++i)
-    positions[workers[i].incarnation] = i;
-  return positions;
+// Returns null when the worker is no candidate. `workers` are those of
+// CandidateWorkers.
+template <typename Workers>
+auto FindCandidate(Workers& workers, const WorkerIncarnation& incarnation) {
+  const auto found = std::lower_bound(
+      workers.begin(), workers.end(), incarnation,
+      [](const CandidateWorker& candidate, const WorkerIncarnation& sought) {
+        return candidate.incarnation < sought;
+      });
+  return found == workers.end() || found->incarnation != incarnation ? nullptr
+                                                                     : &*found;
 }
 
 }  // namespace
@@ -121,16 +126,13 @@
   const std::vector<Victim> victims = Victims(now);
   const PlanRequest request = RequestOf(ready);
   const std::vector<std::uint32_t> used = TasksPerWorker(workers, ready.step);
-  const std::map<WorkerIncarnation, std::size_t> positions =
-      PositionsOf(workers);
   const auto plan_without = [&](std::size_t count) {
     std::vector<CandidateWorker> freed = workers;
     for (std::size_t i = 0; i < count; ++i) {
       for (const RunKey& key : victims[i].runs) {
         const Run& run = runs_.at(key);
-        const auto candidate = positions.find(run.worker);
-        if (candidate != positions.end())
-          freed[candidate->second].free += run.resources;
+        if (CandidateWorker* candidate = FindCandidate(freed, run.worker))
+          candidate->free += run.resources;
       }
     }
     return PlanAll(freed, used, request, rule);
@@ -207,19 +209,17 @@
   std::set<StepRef> waiting;
   for (const ReadyStep& entry : ready)
     waiting.insert(entry.step);
-  const std::map<WorkerIncarnation, std::size_t> positions =
-      PositionsOf(workers);
   std::erase_if(claims_, [&](const auto& entry) {
     const auto& [step, claim] = entry;
     return now.instant > claim.expires_at || !waiting.contains(step) ||
            !std::all_of(claim.task_workers.begin(), claim.task_workers.end(),
                         [&](const WorkerIncarnation& incarnation) {
-                          return positions.contains(incarnation);
+                          return FindCandidate(workers, incarnation) != nullptr;
                         });
   });
   for (const auto& [step, claim] : claims_) {
     for (const WorkerIncarnation& incarnation : claim.task_workers)
-      workers[positions.at(incarnation)].claimed += claim.task;
+      FindCandidate(workers, incarnation)->claimed += claim.task;
   }
 }
 
@@ -230,10 +230,8 @@
                               Round& round,
                               const Now& now) {
   Claim& claim = claims_.at(ready.step);
-  const std::map<WorkerIncarnation, std::size_t> positions =
-      PositionsOf(round.workers);
   for (const WorkerIncarnation& incarnation : claim.task_workers)
-    round.workers[positions.at(incarnation)].claimed -= claim.task;
+    FindCandidate(round.workers, incarnation)->claimed -= claim.task;
   const std::size_t placed_before = round.placements.size();
   if (PlaceStep(ready, rule, round, now)) {
     claims_.erase(ready.step);
@@ -247,7 +245,7 @@
       claim.task_workers.erase(used);
   }
   for (const WorkerIncarnation& incarnation : claim.task_workers)
-    round.workers[positions.at(incarnation)].claimed += claim.task;
+    FindCandidate(round.workers, incarnation)->claimed += claim.task;
 }
 
 }  // namespace wigeonstair::jobs
--- a/libraries/jobs/dispatcher_reserve.cc
+++ b/libraries/jobs/dispatcher_reserve.cc
@@ -24,17 +24,17 @@
 std::vector<Allocation> Dispatcher::Allocations(
     const std::vector<CandidateWorker>& workers,
     const Now& now) const {
-  std::map<WorkerIncarnation, std::size_t> position;
-  for (std::size_t i = 0; i < workers.size(); ++i)
-    position[workers[i].incarnation] = i;
   std::vector<Allocation> allocations;
-  for (const auto& [key, run] : runs_) {
-    const auto candidate = position.find(run.worker);
-    if (candidate == position.end())
+  allocations.reserve(runs_.size());
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    const auto here = runs_by_worker_.find(workers[i].incarnation);
+    if (here == runs_by_worker_.end())
       continue;
-    allocations.push_back({.candidate = candidate->second,
-                           .resources = run.resources,
-                           .remaining_ms = RemainingMs(key, run, now)});
+    for (const auto& [key, run] : here->second.runs) {
+      allocations.push_back({.candidate = i,
+                             .resources = run->resources,
+                             .remaining_ms = RemainingMs(key, *run, now)});
+    }
   }
   return allocations;
 }
