Plan reservations without a map lookup for each run

ReserveRack looked up the rack of each run by its text id and sorted the runs of all racks, also of those that cannot be reserved or have room already. ReserveWorkers kept a map of vectors by index. ReserveForUrgent counted through the map of racks for each worker, also when nothing is reserved. They use vectors by the index of the worker now, and the last one returns at once when nothing is to be reserved.

--- a/libraries/jobs/planner.cc
+++ b/libraries/jobs/planner.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
-#include <iterator>
 #include <limits>
 #include <map>
 #include <tuple>
@@ -136,6 +135,15 @@
             });
 }
 
+std::vector<std::vector<const Allocation*>> GroupByWorker(
+    const std::vector<CandidateWorker>& workers,
+    const std::vector<Allocation>& allocations) {
+  std::vector<std::vector<const Allocation*>> grouped(workers.size());
+  for (const Allocation& allocation : allocations)
+    grouped[allocation.candidate].push_back(&allocation);
+  return grouped;
+}
+
 bool PrefersRack(const StepSpec& step) {
   return step.rack_local || !step.data_rack.empty();
 }
@@ -151,29 +159,31 @@
     if (MayReserve(workers[i], request))
       racks[workers[i].rack].push_back(i);
   }
-  std::map<base::RackId, std::vector<const Allocation*>> ends;
-  for (const Allocation& allocation : allocations)
-    ends[workers[allocation.candidate].rack].push_back(&allocation);
-  for (auto& [id, order] : ends)
-    SortByEnd(order);
+  const std::vector<std::vector<const Allocation*>> ends =
+      GroupByWorker(workers, allocations);
+  std::vector<Resources> space(workers.size());
+  std::vector<const Allocation*> order;
   std::optional<Reservation> best;
   for (const auto& [id, members] : racks) {
-    std::map<std::size_t, Resources> space;
     std::uint64_t fits = 0;
     for (const std::size_t i : members) {
       space[i] = workers[i].Usable();
       fits += CountFitting(space[i], *request.step, 0);
     }
+    order.clear();
+    if (fits < request.count) {
+      for (const std::size_t i : members)
+        order.insert(order.end(), ends[i].begin(), ends[i].end());
+      SortByEnd(order);
+    }
     double wait_ms = 0;
-    for (const Allocation* allocation : ends[id]) {
+    for (const Allocation* allocation : order) {
       if (fits >= request.count)
         break;
-      const auto candidate = space.find(allocation->candidate);
-      if (candidate == space.end())
-        continue;
-      fits -= CountFitting(candidate->second, *request.step, 0);
-      candidate->second += allocation->resources;
-      fits += CountFitting(candidate->second, *request.step, 0);
+      Resources& freed = space[allocation->candidate];
+      fits -= CountFitting(freed, *request.step, 0);
+      freed += allocation->resources;
+      fits += CountFitting(freed, *request.step, 0);
       wait_ms = allocation->remaining_ms;
     }
     if (fits >= request.count && (!best || wait_ms < best->wait_ms))
@@ -186,9 +196,8 @@
     const std::vector<CandidateWorker>& workers,
     const std::vector<Allocation>& allocations,
     const PlanRequest& request) {
-  std::map<std::size_t, std::vector<const Allocation*>> ends;
-  for (const Allocation& allocation : allocations)
-    ends[allocation.candidate].push_back(&allocation);
+  std::vector<std::vector<const Allocation*>> ends =
+      GroupByWorker(workers, allocations);
   // The time at which each slot for a gang member becomes free, and its worker.
   std::vector<std::pair<double, std::size_t>> slots;
   for (std::size_t i = 0; i < workers.size(); ++i) {
@@ -222,9 +231,18 @@
 
 void ReserveForUrgent(std::vector<CandidateWorker>& workers,
                       std::uint64_t accelerators) {
-  std::map<base::RackId, std::uint64_t> free_in_rack;
+  if (accelerators == 0)
+    return;
+  struct Rack {
+    std::uint64_t free = 0;
+    std::size_t position = 0;
+  };
+  std::map<base::RackId, Rack> racks;
   for (const CandidateWorker& candidate : workers)
-    free_in_rack[candidate.rack] += candidate.Usable().accelerators;
+    racks[candidate.rack].free += candidate.Usable().accelerators;
+  std::size_t position = 0;
+  for (auto& [id, rack] : racks)
+    rack.position = position++;
   // Free accelerators of the rack, the rack's position in the map, free
   // accelerators of the worker, and the worker's index.
   using Key =
@@ -232,10 +250,9 @@
   std::vector<Key> order;
   order.reserve(workers.size());
   for (std::size_t i = 0; i < workers.size(); ++i) {
-    const auto rack = free_in_rack.find(workers[i].rack);
-    const auto rank =
-        static_cast<std::size_t>(std::distance(free_in_rack.begin(), rack));
-    order.emplace_back(rack->second, rank, workers[i].Usable().accelerators, i);
+    const Rack& rack = racks.at(workers[i].rack);
+    order.emplace_back(rack.free, rack.position,
+                       workers[i].Usable().accelerators, i);
   }
   std::sort(order.begin(), order.end(), std::greater<>());
   std::uint64_t reserved = 0;
