Find the job and the worker of a run once for all checks

A check of a running task looked up its worker up to four times and its job twice, by text ids. AdvanceRuns finds the worker once for each run and the job once for the runs of a job, which are neighbours, and passes both on.

--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -123,6 +123,8 @@
     kEnding,
   };
 
+  struct Worker;
+
   struct Run {
     RunPhase phase = RunPhase::kProposed;
     WorkerIncarnation worker;
@@ -164,6 +166,16 @@
     std::string checkpoint;
   };
 
+  // A run of AdvanceRuns. Its job and its worker are found once for all checks.
+  struct CheckedRun {
+    const RunKey& key;
+    Run& run;
+    // Null when not known.
+    const JobRecord* job = nullptr;
+    // Null when the incarnation is not the recorded one.
+    Worker* worker = nullptr;
+  };
+
   // Part of the index of `runs_`.
   struct RunsOfWorker {
     std::map<RunKey, const Run*> runs;
@@ -356,7 +368,7 @@
   // none is known. Its `born` is lower when the clock of its host was set back.
   const Worker* SuccessorOf(const Run& run) const;
   // The state of the worker of a run, as ProveAbsence needs it.
-  WorkerOfRun StateOfWorker(const Run& run) const;
+  WorkerOfRun StateOfWorker(const CheckedRun& checked) const;
   // Whether a run of a broken gang counts as ended with it. The lost member may
   // have failed, so the next attempt must be allowed even if all attempts so
   // far failed.
@@ -367,22 +379,20 @@
                        const Now& now);
   void AdvanceRuns(const Now& now);
   // Returns why a run that the worker accepted must be stopped, or empty.
-  std::optional<std::string> StopReasonOfRunning(const RunKey& key,
-                                                 const Run& run,
+  std::optional<std::string> StopReasonOfRunning(const CheckedRun& checked,
                                                  const Now& now);
   // Whether a run has to move because its worker may end before it does.
-  bool MustLeaveWorker(const RunKey& key, const Run& run, const Now& now) const;
+  bool MustLeaveWorker(const CheckedRun& checked, const Now& now) const;
   void SendStart(const RunKey& key, Run& run, const Now& now);
   void SendStop(const RunKey& key, Run& run, const Now& now);
-  bool MayStart(const RunKey& key, const Run& run, const Now& now) const;
+  bool MayStart(const CheckedRun& checked, const Now& now) const;
   // Notes that the only start of a run was executed, for the next leader.
   void NoteConfirmedStart(const RunKey& key, const Run& run);
   // Writes the noted starts to the log, many at a time.
   void ProposeConfirmedStarts(const Now& now);
   // Whether a start that was not answered may be sent again.
   bool MayRepeatStart(const Run& run, const Now& now) const;
-  std::optional<std::string> StopReason(const RunKey& key,
-                                        const Run& run,
+  std::optional<std::string> StopReason(const CheckedRun& checked,
                                         const Now& now) const;
   void RequestStop(const RunKey& key,
                    Run& run,
@@ -422,8 +432,7 @@
               Run& run,
               std::uint32_t percent,
               const Now& now);
-  std::optional<std::string> DetectStall(const RunKey& key,
-                                         const Run& run,
+  std::optional<std::string> DetectStall(const CheckedRun& checked,
                                          const Now& now) const;
   bool IsSlowestOfStep(const RunKey& key, const Run& run) const;
 
--- a/libraries/jobs/dispatcher_health.cc
+++ b/libraries/jobs/dispatcher_health.cc
@@ -103,11 +103,12 @@
 
 // Load pattern: workers that hang or are slow during a burst. Their tasks
 // occupy resources that others could use, and end far too late.
-std::optional<std::string> Dispatcher::DetectStall(const RunKey& key,
-                                                   const Run& run,
+std::optional<std::string> Dispatcher::DetectStall(const CheckedRun& checked,
                                                    const Now& now) const {
-  const Worker* worker = FindWorker(run.worker);
-  const JobRecord* job = store_.FindJob(key.task.job);
+  const RunKey& key = checked.key;
+  const Run& run = checked.run;
+  const JobRecord* job = checked.job;
+  const Worker* worker = checked.worker;
   // Without a recent list the progress of the run is unknown.
   const bool listed = worker != nullptr && run.listed_at &&
                       now.instant - *run.listed_at < kHangTimeout;
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -79,10 +79,11 @@
              : nullptr;
 }
 
-WorkerOfRun Dispatcher::StateOfWorker(const Run& run) const {
-  if (const Worker* worker = FindWorker(run.worker)) {
-    return RecordedWorker{.lease_bound = worker->lease_bound,
-                          .answered_at = worker->answered_at,
+WorkerOfRun Dispatcher::StateOfWorker(const CheckedRun& checked) const {
+  const Run& run = checked.run;
+  if (checked.worker != nullptr) {
+    return RecordedWorker{.lease_bound = checked.worker->lease_bound,
+                          .answered_at = checked.worker->answered_at,
                           .gang_broken_at = run.gang_broken_at};
   }
   if (SuccessorOf(run) != nullptr)
@@ -116,41 +117,41 @@
   run.settled_at = run.placed_at;
 }
 
-std::optional<std::string> Dispatcher::StopReasonOfRunning(const RunKey& key,
-                                                           const Run& run,
-                                                           const Now& now) {
-  if (auto stall_reason = DetectStall(key, run, now)) {
+std::optional<std::string> Dispatcher::StopReasonOfRunning(
+    const CheckedRun& checked,
+    const Now& now) {
+  if (auto stall_reason = DetectStall(checked, now)) {
     // In a gang any member may be the cause, so all of their workers get a
     // penalty in the next placement.
-    Worker& stalled = workers_.at(run.worker.id);
+    Worker& stalled = *checked.worker;
     stalled.failures = std::max(stalled.failures, 1);
-    if (!run.gang)
+    if (!checked.run.gang)
       stalled.avoid_until = now.instant + kStallPause;
     return stall_reason;
   }
-  if (MustLeaveWorker(key, run, now))
+  if (MustLeaveWorker(checked, now))
     return "worker_leaving";
-  return StopReason(key, run, now);
+  return StopReason(checked, now);
 }
 
 // Load pattern: workers are taken away at short notice during a burst. A run
 // that is still there when its worker ends loses its work. Workers may stay
 // longer than they announce, so a run without checkpoints goes on: a move would
 // lose its work in any case.
-bool Dispatcher::MustLeaveWorker(const RunKey& key,
-                                 const Run& run,
+bool Dispatcher::MustLeaveWorker(const CheckedRun& checked,
                                  const Now& now) const {
-  const Worker* worker = FindWorker(run.worker);
+  const Run& run = checked.run;
+  const JobRecord* job = checked.job;
+  const Worker* worker = checked.worker;
   if (worker != nullptr && worker->deregisters_at)
     return true;
   if (worker == nullptr || !worker->leaves_at || !run.checkpointing)
     return false;
   const std::chrono::duration<double, std::milli> left =
       *worker->leaves_at - now.instant;
-  const JobRecord* job = store_.FindJob(key.task.job);
   const bool ends_by_itself =
-      job != nullptr && !job->spec.steps[key.task.step].long_running;
-  if (ends_by_itself && RemainingMs(key, run, now) <= left.count())
+      job != nullptr && !job->spec.steps[checked.key.task.step].long_running;
+  if (ends_by_itself && RemainingMs(checked.key, run, now) <= left.count())
     return false;
   return left <= kStopBeforeLeaving;
 }
@@ -162,14 +163,23 @@
   if (sweeps)
     next_sweep_at_ = now.instant + kSweepInterval;
   std::map<AbsenceProof, std::vector<RunKey>> absent;
+  const base::JobId* job_id = nullptr;
+  const JobRecord* job = nullptr;
   for (auto& [key, run] : runs_) {
     if (run.phase == RunPhase::kProposed || run.phase == RunPhase::kEnding ||
         (run.phase == RunPhase::kRunning && !sweeps)) {
       continue;
     }
-    const bool recorded = FindWorker(run.worker) != nullptr;
+    // The runs of a job are neighbours.
+    if (job_id == nullptr || *job_id != key.task.job) {
+      job_id = &key.task.job;
+      job = store_.FindJob(*job_id);
+    }
+    CheckedRun checked{
+        .key = key, .run = run, .job = job, .worker = FindWorker(run.worker)};
+    const bool recorded = checked.worker != nullptr;
     if (!recorded || run.starts.sent > 0) {
-      const auto proof = ProveAbsence(run.starts, StateOfWorker(run),
+      const auto proof = ProveAbsence(run.starts, StateOfWorker(checked),
                                       options_.longest_lease, now.instant);
       if (proof &&
           (proof != AbsenceProof::kGangBroken || MayEndWithGang(key))) {
@@ -184,11 +194,12 @@
       if (successor == nullptr)
         continue;
       MoveToSuccessor(key, run, successor->description.incarnation, now);
+      checked.worker = FindWorker(run.worker);
     }
     if (run.phase != RunPhase::kStopping) {
       auto reason = run.phase == RunPhase::kRunning
-                        ? StopReasonOfRunning(key, run, now)
-                        : StopReason(key, run, now);
+                        ? StopReasonOfRunning(checked, now)
+                        : StopReason(checked, now);
       if (reason) {
         if (run.phase == RunPhase::kStarting && run.starts.sent == 0) {
           absent[AbsenceProof::kNeverSent].push_back(key);
@@ -208,21 +219,20 @@
 
 // Whether a start may still be sent: the worker must be ready and its domain in
 // service.
-bool Dispatcher::MayStart(const RunKey& key,
-                          const Run& run,
-                          const Now& now) const {
-  const Worker* worker = FindWorker(run.worker);
+bool Dispatcher::MayStart(const CheckedRun& checked, const Now& now) const {
+  const Worker* worker = checked.worker;
   return worker != nullptr && worker->clock_ms &&
          worker->description.phase == WorkerPhase::kReady &&
          !worker->deregisters_at &&
-         store_.InService(worker->description.domain) && key.attempt > 0 &&
-         now.instant >= run.placed_at;
+         store_.InService(worker->description.domain) &&
+         checked.key.attempt > 0 && now.instant >= checked.run.placed_at;
 }
 
-std::optional<std::string> Dispatcher::StopReason(const RunKey& key,
-                                                  const Run& run,
+std::optional<std::string> Dispatcher::StopReason(const CheckedRun& checked,
                                                   const Now& now) const {
-  const JobRecord* job = store_.FindJob(key.task.job);
+  const RunKey& key = checked.key;
+  const Run& run = checked.run;
+  const JobRecord* job = checked.job;
   if (job == nullptr)
     return "job_unknown";
   const std::vector<TaskProgress>* tasks =
@@ -253,7 +263,7 @@
       return "gang_incomplete";
   }
   if (run.phase == RunPhase::kStarting) {
-    if (!MayStart(key, run, now))
+    if (!MayStart(checked, now))
       return "worker_leaving";
     const bool late =
         run.gang && run.first_sent_at &&
