--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -174,6 +175,8 @@
     const JobRecord* job = nullptr;
     // Null when the incarnation is not the recorded one.
     Worker* worker = nullptr;
+    // No run of the step is faster; infinite when their speeds are not known.
+    double fastest = std::numeric_limits<double>::infinity();
   };
 
   // Part of the index of `runs_`.
@@ -434,6 +437,7 @@
               const Now& now);
   std::optional<std::string> DetectStall(const CheckedRun& checked,
                                          const Now& now) const;
+  double FastestOfStep(const RunKey& key) const;
   bool IsSlowestOfStep(const RunKey& key, const Run& run) const;
 
   // dispatcher_lists.cc
--- a/libraries/jobs/dispatcher_health.cc
+++ b/libraries/jobs/dispatcher_health.cc
@@ -122,11 +122,28 @@
   if (now.instant - run.progress_at > std::max(kHangTimeout, longest_percent))
     return "hangs";
   // The members of a gang progress at the same speed.
-  if (!run.gang && run.speed && IsSlowestOfStep(key, run))
+  // The median cannot exceed the highest speed.
+  if (!run.gang && run.speed && *run.speed * kSlowFactor < checked.fastest &&
+      IsSlowestOfStep(key, run))
     return "slow_worker";
   return std::nullopt;
 }
 
+double Dispatcher::FastestOfStep(const RunKey& key) const {
+  const auto is_sibling = [&](const TaskRef& task) {
+    return task.step == key.task.step &&
+           task.occurrence == key.task.occurrence && task.job == key.task.job;
+  };
+  double fastest = 0;
+  for (auto run = runs_.lower_bound({.task = {.job = key.task.job,
+                                             .occurrence = key.task.occurrence,
+                                             .step = key.task.step}});
+       run != runs_.end() && is_sibling(run->first.task); ++run) {
+    fastest = std::max(fastest, run->second.speed.value_or(0));
+  }
+  return fastest;
+}
+
 bool Dispatcher::IsSlowestOfStep(const RunKey& key, const Run& run) const {
   std::vector<double> speeds;
   const StepRef step = StepOf(key.task);
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "jobs/dispatcher.h"
@@ -163,20 +164,30 @@
   if (sweeps)
     next_sweep_at_ = now.instant + kSweepInterval;
   std::map<AbsenceProof, std::vector<RunKey>> absent;
-  const base::JobId* job_id = nullptr;
+  const TaskRef* last = nullptr;
   const JobRecord* job = nullptr;
+  constexpr double kUnknown = std::numeric_limits<double>::infinity();
+  double fastest = kUnknown;
   for (auto& [key, run] : runs_) {
     if (run.phase == RunPhase::kProposed || run.phase == RunPhase::kEnding ||
         (run.phase == RunPhase::kRunning && !sweeps)) {
       continue;
     }
-    // The runs of a job are neighbours.
-    if (job_id == nullptr || *job_id != key.task.job) {
-      job_id = &key.task.job;
-      job = store_.FindJob(*job_id);
+    // The runs of a job are neighbours, and so are those of a step.
+    const TaskRef& task = key.task;
+    const bool new_job = last == nullptr || last->job != task.job;
+    if (new_job)
+      job = store_.FindJob(task.job);
+    if (new_job || last->occurrence != task.occurrence ||
+        last->step != task.step) {
+      fastest = sweeps && !run.gang ? FastestOfStep(key) : kUnknown;
     }
-    CheckedRun checked{
-        .key = key, .run = run, .job = job, .worker = FindWorker(run.worker)};
+    last = &task;
+    CheckedRun checked{.key = key,
+                       .run = run,
+                       .job = job,
+                       .worker = FindWorker(run.worker),
+                       .fastest = fastest};
     const bool recorded = checked.worker != nullptr;
     if (!recorded || run.starts.sent > 0) {
       const auto proof = ProveAbsence(run.starts, StateOfWorker(checked),
