--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -384,8 +384,6 @@
   // Returns why a run that the worker accepted must be stopped, or empty.
   std::optional<std::string> StopReasonOfRunning(const CheckedRun& checked,
                                                  const Now& now);
-  // Whether a run has to move because its worker may end before it does.
-  bool MustLeaveWorker(const CheckedRun& checked, const Now& now) const;
   void SendStart(const RunKey& key, Run& run, const Now& now);
   void SendStop(const RunKey& key, Run& run, const Now& now);
   bool MayStart(const CheckedRun& checked, const Now& now) const;
@@ -439,6 +437,8 @@
                                          const Now& now) const;
   double FastestOfStep(const RunKey& key) const;
   bool IsSlowestOfStep(const RunKey& key, const Run& run) const;
+  // Whether a run has to move because its worker may end before it does.
+  bool MustLeaveWorker(const CheckedRun& checked, const Now& now) const;
 
   // dispatcher_lists.cc
   void SendDueHolds(const Now& now);
--- a/libraries/jobs/dispatcher_health.cc
+++ b/libraries/jobs/dispatcher_health.cc
@@ -33,6 +33,9 @@
 constexpr std::size_t kMinimumSiblings = 3;
 // Runs beyond this progress are not moved.
 constexpr std::uint32_t kNearlyDonePercent = 85;
+// Time for the stop of a run, its last checkpoint and the list with its end
+// before the worker ends.
+constexpr base::Duration kStopBeforeLeaving = std::chrono::milliseconds(1200);
 
 }  // namespace
 
@@ -167,4 +170,26 @@
          *run.speed * kSlowFactor < *middle;
 }
 
+// Load pattern: workers are taken away at short notice during a burst. A run
+// that is still there when its worker ends loses its work. Workers may stay
+// longer than they announce, so a run without checkpoints goes on: a move would
+// lose its work in any case.
+bool Dispatcher::MustLeaveWorker(const CheckedRun& checked,
+                                 const Now& now) const {
+  const Run& run = checked.run;
+  const JobRecord* job = checked.job;
+  const Worker* worker = checked.worker;
+  if (worker != nullptr && worker->deregisters_at)
+    return true;
+  if (worker == nullptr || !worker->leaves_at || !run.checkpointing)
+    return false;
+  const std::chrono::duration<double, std::milli> left =
+      *worker->leaves_at - now.instant;
+  const bool ends_by_itself =
+      job != nullptr && !job->spec.steps[checked.key.task.step].long_running;
+  if (ends_by_itself && RemainingMs(checked.key, run, now) <= left.count())
+    return false;
+  return left <= kStopBeforeLeaving;
+}
+
 }  // namespace wigeonstair::jobs
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -35,9 +35,6 @@
 // How long after its last answer a worker is expected to come back from a cut
 // and to list whether a lost attempt failed.
 constexpr base::Duration kOutcomeWait = std::chrono::seconds(14);
-// Time for the stop of a run, its last checkpoint and the list with its end
-// before the worker ends.
-constexpr base::Duration kStopBeforeLeaving = std::chrono::milliseconds(1200);
 // An incomplete gang is stopped after this share of the gang wait, so that the
 // stops arrive before its members end by themselves.
 constexpr double kGangStartShare = 0.75;
@@ -135,28 +132,6 @@
   return StopReason(checked, now);
 }
 
-// Load pattern: workers are taken away at short notice during a burst. A run
-// that is still there when its worker ends loses its work. Workers may stay
-// longer than they announce, so a run without checkpoints goes on: a move would
-// lose its work in any case.
-bool Dispatcher::MustLeaveWorker(const CheckedRun& checked,
-                                 const Now& now) const {
-  const Run& run = checked.run;
-  const JobRecord* job = checked.job;
-  const Worker* worker = checked.worker;
-  if (worker != nullptr && worker->deregisters_at)
-    return true;
-  if (worker == nullptr || !worker->leaves_at || !run.checkpointing)
-    return false;
-  const std::chrono::duration<double, std::milli> left =
-      *worker->leaves_at - now.instant;
-  const bool ends_by_itself =
-      job != nullptr && !job->spec.steps[checked.key.task.step].long_running;
-  if (ends_by_itself && RemainingMs(checked.key, run, now) <= left.count())
-    return false;
-  return left <= kStopBeforeLeaving;
-}
-
 // Running tasks are checked periodically: with a thousand of them, a check
 // after each event left a small host no processor time for calls.
 void Dispatcher::AdvanceRuns(const Now& now) {
