--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -16,6 +17,7 @@
 #include "base/monotonic_clock.h"
 #include "jobs/actions.h"
 #include "jobs/api.h"
+#include "jobs/decision.h"
 #include "jobs/job_store.h"
 #include "jobs/placement_history.h"
 #include "jobs/planner.h"
@@ -42,28 +44,6 @@
   base::Duration heartbeat = std::chrono::milliseconds(1500);
 };
 
-// A decision and its reason, for the log.
-struct Decision {
-  std::string_view kind;
-  TaskRef task;
-  std::uint32_t attempt = 0;
-  WorkerIncarnation worker;
-  std::string reason;
-  base::Duration input_age{};
-  // Start calls sent for this attempt so far.
-  int starts_sent = 0;
-  // Until all leases of the worker have expired on this host's clock; negative
-  // afterwards, empty when the worker is not known.
-  std::optional<base::Duration> lease_left;
-};
-
-struct Now {
-  // Monotonic time, for leases and timeouts.
-  base::Instant instant;
-  // Milliseconds since the Unix epoch, for due times and records.
-  std::uint64_t wall_ms = 0;
-};
-
 // Places, starts, stops and supervises tasks while this host leads the group.
 // Performs no I/O: the owner passes in events with the current time and
 // executes the actions in order. A start is sent only after its placement is
@@ -144,6 +124,8 @@
     kEnding,
   };
 
+  struct Worker;
+
   struct Run {
     RunPhase phase = RunPhase::kProposed;
     WorkerIncarnation worker;
@@ -185,6 +167,25 @@
     std::string checkpoint;
   };
 
+  // A run of AdvanceRuns. Its job and its worker are found once for all checks.
+  struct CheckedRun {
+    const RunKey& key;
+    Run& run;
+    // Null when not known.
+    const JobRecord* job = nullptr;
+    // Null when the incarnation is not the recorded one.
+    Worker* worker = nullptr;
+    // No run of the step is faster; infinite when their speeds are not known.
+    double fastest = std::numeric_limits<double>::infinity();
+  };
+
+  // Part of the index of `runs_`.
+  struct RunsOfWorker {
+    std::map<RunKey, const Run*> runs;
+    // The sum of their resources.
+    Resources in_use;
+  };
+
   struct Worker {
     WorkerDescription description;
     // Time of the last heartbeat or answer.
@@ -338,6 +339,9 @@
                       base::Duration input_age = {});
   Worker* FindWorker(const WorkerIncarnation& incarnation);
   const Worker* FindWorker(const WorkerIncarnation& incarnation) const;
+  // Keep `runs_by_worker_` in step with `runs_`.
+  void IndexRun(const RunKey& key, const Run& run);
+  void UnindexRun(const RunKey& key, const Run& run);
   void SyncWorkers(const Now& now);
   // Drops the workers that the store no longer has.
   void DropRemovedWorkers();
@@ -367,7 +371,7 @@
   // none is known. Its `born` is lower when the clock of its host was set back.
   const Worker* SuccessorOf(const Run& run) const;
   // The state of the worker of a run, as ProveAbsence needs it.
-  WorkerOfRun StateOfWorker(const Run& run) const;
+  WorkerOfRun StateOfWorker(const CheckedRun& checked) const;
   // Whether a run of a broken gang counts as ended with it. The lost member may
   // have failed, so the next attempt must be allowed even if all attempts so
   // far failed.
@@ -378,14 +382,11 @@
                        const Now& now);
   void AdvanceRuns(const Now& now);
   // Returns why a run that the worker accepted must be stopped, or empty.
-  std::optional<std::string> StopReasonOfRunning(const RunKey& key,
-                                                 const Run& run,
+  std::optional<std::string> StopReasonOfRunning(const CheckedRun& checked,
                                                  const Now& now);
-  // Whether a run has to move because its worker may end before it does.
-  bool MustLeaveWorker(const RunKey& key, const Run& run, const Now& now) const;
   void SendStart(const RunKey& key, Run& run, const Now& now);
   void SendStop(const RunKey& key, Run& run, const Now& now);
-  bool MayStart(const RunKey& key, const Run& run, const Now& now) const;
+  bool MayStart(const CheckedRun& checked, const Now& now) const;
   // Notes that the only start of a run was executed, for the next leader.
   void CloseStartCall(const StartAction& call, bool repeated);
   void NoteConfirmedStart(const RunKey& key, const Run& run);
@@ -393,8 +394,7 @@
   void ProposeConfirmedStarts(const Now& now);
   // Whether a start that was not answered may be sent again.
   bool MayRepeatStart(const Run& run, const Now& now) const;
-  std::optional<std::string> StopReason(const RunKey& key,
-                                        const Run& run,
+  std::optional<std::string> StopReason(const CheckedRun& checked,
                                         const Now& now) const;
   void RequestStop(const RunKey& key,
                    Run& run,
@@ -434,10 +434,12 @@
               Run& run,
               std::uint32_t percent,
               const Now& now);
-  std::optional<std::string> DetectStall(const RunKey& key,
-                                         const Run& run,
+  std::optional<std::string> DetectStall(const CheckedRun& checked,
                                          const Now& now) const;
+  double FastestOfStep(const RunKey& key) const;
   bool IsSlowestOfStep(const RunKey& key, const Run& run) const;
+  // Whether a run has to move because its worker may end before it does.
+  bool MustLeaveWorker(const CheckedRun& checked, const Now& now) const;
 
   // dispatcher_lists.cc
   void SendDueHolds(const Now& now);
@@ -480,6 +482,7 @@
   // dispatcher_admission.cc
   void PlaceRound(const Now& now);
   static Shape ShapeOf(const ReadyStep& ready, RackRule rule);
+  // The workers that may get tasks, in order of their incarnations.
   std::vector<CandidateWorker> CandidateWorkers(const Now& now) const;
   // The resources that current runs hold on `workers`.
   std::vector<Allocation> Allocations(
@@ -556,7 +559,7 @@
   std::map<RunKey, Run> runs_;
   // Index of `runs_` by worker, since an answer of a worker concerns only its
   // own runs.
-  std::map<WorkerIncarnation, std::set<RunKey>> runs_by_worker_;
+  std::map<WorkerIncarnation, RunsOfWorker> runs_by_worker_;
   std::map<TaskRef, std::vector<LostAttempt>> lost_attempts_;
   // Starts whose confirmation is not in the log yet.
   std::vector<RunKey> confirmed_starts_;
--- a/libraries/jobs/dispatcher_health.cc
+++ b/libraries/jobs/dispatcher_health.cc
@@ -33,6 +33,9 @@
 constexpr std::size_t kMinimumSiblings = 3;
 // Runs beyond this progress are not moved.
 constexpr std::uint32_t kNearlyDonePercent = 85;
+// Time for the stop of a run, its last checkpoint and the list with its end
+// before the worker ends.
+constexpr base::Duration kStopBeforeLeaving = std::chrono::milliseconds(1200);
 
 }  // namespace
 
@@ -103,11 +106,12 @@
 
 // Load pattern: workers that hang or are slow during a burst. Their tasks
 // occupy resources that others could use, and end far too late.
-std::optional<std::string> Dispatcher::DetectStall(const RunKey& key,
-                                                   const Run& run,
+std::optional<std::string> Dispatcher::DetectStall(const CheckedRun& checked,
                                                    const Now& now) const {
-  const Worker* worker = FindWorker(run.worker);
-  const JobRecord* job = store_.FindJob(key.task.job);
+  const RunKey& key = checked.key;
+  const Run& run = checked.run;
+  const JobRecord* job = checked.job;
+  const Worker* worker = checked.worker;
   // Without a recent list the progress of the run is unknown.
   const bool listed = worker != nullptr && run.listed_at &&
                       now.instant - *run.listed_at < kHangTimeout;
@@ -121,11 +125,28 @@
   if (now.instant - run.progress_at > std::max(kHangTimeout, longest_percent))
     return "hangs";
   // The members of a gang progress at the same speed.
-  if (!run.gang && run.speed && IsSlowestOfStep(key, run))
+  // The median cannot exceed the highest speed.
+  if (!run.gang && run.speed && *run.speed * kSlowFactor < checked.fastest &&
+      IsSlowestOfStep(key, run))
     return "slow_worker";
   return std::nullopt;
 }
 
+double Dispatcher::FastestOfStep(const RunKey& key) const {
+  const auto is_sibling = [&](const TaskRef& task) {
+    return task.step == key.task.step &&
+           task.occurrence == key.task.occurrence && task.job == key.task.job;
+  };
+  double fastest = 0;
+  for (auto run = runs_.lower_bound({.task = {.job = key.task.job,
+                                             .occurrence = key.task.occurrence,
+                                             .step = key.task.step}});
+       run != runs_.end() && is_sibling(run->first.task); ++run) {
+    fastest = std::max(fastest, run->second.speed.value_or(0));
+  }
+  return fastest;
+}
+
 bool Dispatcher::IsSlowestOfStep(const RunKey& key, const Run& run) const {
   std::vector<double> speeds;
   const StepRef step = StepOf(key.task);
@@ -149,4 +170,26 @@
          *run.speed * kSlowFactor < *middle;
 }
 
+// Load pattern: workers are taken away at short notice during a burst. A run
+// that is still there when its worker ends loses its work. Workers may stay
+// longer than they announce, so a run without checkpoints goes on: a move would
+// lose its work in any case.
+bool Dispatcher::MustLeaveWorker(const CheckedRun& checked,
+                                 const Now& now) const {
+  const Run& run = checked.run;
+  const JobRecord* job = checked.job;
+  const Worker* worker = checked.worker;
+  if (worker != nullptr && worker->deregisters_at)
+    return true;
+  if (worker == nullptr || !worker->leaves_at || !run.checkpointing)
+    return false;
+  const std::chrono::duration<double, std::milli> left =
+      *worker->leaves_at - now.instant;
+  const bool ends_by_itself =
+      job != nullptr && !job->spec.steps[checked.key.task.step].long_running;
+  if (ends_by_itself && RemainingMs(checked.key, run, now) <= left.count())
+    return false;
+  return left <= kStopBeforeLeaving;
+}
+
 }  // namespace wigeonstair::jobs
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "jobs/dispatcher.h"
@@ -34,9 +35,6 @@
 // How long after its last answer a worker is expected to come back from a cut
 // and to list whether a lost attempt failed.
 constexpr base::Duration kOutcomeWait = std::chrono::seconds(14);
-// Time for the stop of a run, its last checkpoint and the list with its end
-// before the worker ends.
-constexpr base::Duration kStopBeforeLeaving = std::chrono::milliseconds(1200);
 // An incomplete gang is stopped after this share of the gang wait, so that the
 // stops arrive before its members end by themselves.
 constexpr double kGangStartShare = 0.75;
@@ -62,17 +60,12 @@
   const RunKey key{.task = placement.task, .attempt = placement.attempt};
   if (const auto old = runs_.find(key); old != runs_.end())
     EraseRun(old);
-  runs_by_worker_[run.worker].insert(key);
-  runs_.emplace(key, std::move(run));
+  const auto added = runs_.emplace(key, std::move(run)).first;
+  IndexRun(key, added->second);
 }
 
 void Dispatcher::EraseRun(std::map<RunKey, Run>::iterator run) {
-  const auto others = runs_by_worker_.find(run->second.worker);
-  if (others != runs_by_worker_.end()) {
-    others->second.erase(run->first);
-    if (others->second.empty())
-      runs_by_worker_.erase(others);
-  }
+  UnindexRun(run->first, run->second);
   runs_.erase(run);
 }
 
@@ -84,10 +77,11 @@
              : nullptr;
 }
 
-WorkerOfRun Dispatcher::StateOfWorker(const Run& run) const {
-  if (const Worker* worker = FindWorker(run.worker)) {
-    return RecordedWorker{.lease_bound = worker->lease_bound,
-                          .answered_at = worker->answered_at,
+WorkerOfRun Dispatcher::StateOfWorker(const CheckedRun& checked) const {
+  const Run& run = checked.run;
+  if (checked.worker != nullptr) {
+    return RecordedWorker{.lease_bound = checked.worker->lease_bound,
+                          .answered_at = checked.worker->answered_at,
                           .gang_broken_at = run.gang_broken_at};
   }
   if (SuccessorOf(run) != nullptr)
@@ -110,12 +104,9 @@
                                  const WorkerIncarnation& successor,
                                  const Now& now) {
   RecordDecision("move", key, run.worker, "worker_restarted", now);
-  std::set<RunKey>& former = runs_by_worker_[run.worker];
-  former.erase(key);
-  if (former.empty())
-    runs_by_worker_.erase(run.worker);
-  runs_by_worker_[successor].insert(key);
+  UnindexRun(key, run);
   run.worker = successor;
+  IndexRun(key, run);
   run.phase = RunPhase::kRunning;
   run.call_in_flight = false;
   run.stop_accepted = false;
@@ -124,43 +115,21 @@
   run.settled_at = run.placed_at;
 }
 
-std::optional<std::string> Dispatcher::StopReasonOfRunning(const RunKey& key,
-                                                           const Run& run,
-                                                           const Now& now) {
-  if (auto stall_reason = DetectStall(key, run, now)) {
+std::optional<std::string> Dispatcher::StopReasonOfRunning(
+    const CheckedRun& checked,
+    const Now& now) {
+  if (auto stall_reason = DetectStall(checked, now)) {
     // In a gang any member may be the cause, so all of their workers get a
     // penalty in the next placement.
-    Worker& stalled = workers_.at(run.worker.id);
+    Worker& stalled = *checked.worker;
     stalled.failures = std::max(stalled.failures, 1);
-    if (!run.gang)
+    if (!checked.run.gang)
       stalled.avoid_until = now.instant + kStallPause;
     return stall_reason;
   }
-  if (MustLeaveWorker(key, run, now))
+  if (MustLeaveWorker(checked, now))
     return "worker_leaving";
-  return StopReason(key, run, now);
-}
-
-// Load pattern: workers are taken away at short notice during a burst. A run
-// that is still there when its worker ends loses its work. Workers may stay
-// longer than they announce, so a run without checkpoints goes on: a move would
-// lose its work in any case.
-bool Dispatcher::MustLeaveWorker(const RunKey& key,
-                                 const Run& run,
-                                 const Now& now) const {
-  const Worker* worker = FindWorker(run.worker);
-  if (worker != nullptr && worker->deregisters_at)
-    return true;
-  if (worker == nullptr || !worker->leaves_at || !run.checkpointing)
-    return false;
-  const std::chrono::duration<double, std::milli> left =
-      *worker->leaves_at - now.instant;
-  const JobRecord* job = store_.FindJob(key.task.job);
-  const bool ends_by_itself =
-      job != nullptr && !job->spec.steps[key.task.step].long_running;
-  if (ends_by_itself && RemainingMs(key, run, now) <= left.count())
-    return false;
-  return left <= kStopBeforeLeaving;
+  return StopReason(checked, now);
 }
 
 // Running tasks are checked periodically: with a thousand of them, a check
@@ -170,14 +139,33 @@
   if (sweeps)
     next_sweep_at_ = now.instant + kSweepInterval;
   std::map<AbsenceProof, std::vector<RunKey>> absent;
+  const TaskRef* last = nullptr;
+  const JobRecord* job = nullptr;
+  constexpr double kUnknown = std::numeric_limits<double>::infinity();
+  double fastest = kUnknown;
   for (auto& [key, run] : runs_) {
     if (run.phase == RunPhase::kProposed || run.phase == RunPhase::kEnding ||
         (run.phase == RunPhase::kRunning && !sweeps)) {
       continue;
     }
-    const bool recorded = FindWorker(run.worker) != nullptr;
+    // The runs of a job are neighbours, and so are those of a step.
+    const TaskRef& task = key.task;
+    const bool new_job = last == nullptr || last->job != task.job;
+    if (new_job)
+      job = store_.FindJob(task.job);
+    if (new_job || last->occurrence != task.occurrence ||
+        last->step != task.step) {
+      fastest = sweeps && !run.gang ? FastestOfStep(key) : kUnknown;
+    }
+    last = &task;
+    CheckedRun checked{.key = key,
+                       .run = run,
+                       .job = job,
+                       .worker = FindWorker(run.worker),
+                       .fastest = fastest};
+    const bool recorded = checked.worker != nullptr;
     if (!recorded || run.starts.sent > 0) {
-      const auto proof = ProveAbsence(run.starts, StateOfWorker(run),
+      const auto proof = ProveAbsence(run.starts, StateOfWorker(checked),
                                       options_.longest_lease, now.instant);
       if (proof &&
           (proof != AbsenceProof::kGangBroken || MayEndWithGang(key))) {
@@ -192,11 +180,12 @@
       if (successor == nullptr)
         continue;
       MoveToSuccessor(key, run, successor->description.incarnation, now);
+      checked.worker = FindWorker(run.worker);
     }
     if (run.phase != RunPhase::kStopping) {
       auto reason = run.phase == RunPhase::kRunning
-                        ? StopReasonOfRunning(key, run, now)
-                        : StopReason(key, run, now);
+                        ? StopReasonOfRunning(checked, now)
+                        : StopReason(checked, now);
       if (reason) {
         if (run.phase == RunPhase::kStarting && run.starts.sent == 0) {
           absent[AbsenceProof::kNeverSent].push_back(key);
@@ -216,21 +205,20 @@
 
 // Whether a start may still be sent: the worker must be ready and its domain in
 // service.
-bool Dispatcher::MayStart(const RunKey& key,
-                          const Run& run,
-                          const Now& now) const {
-  const Worker* worker = FindWorker(run.worker);
+bool Dispatcher::MayStart(const CheckedRun& checked, const Now& now) const {
+  const Worker* worker = checked.worker;
   return worker != nullptr && worker->clock_ms &&
          worker->description.phase == WorkerPhase::kReady &&
          !worker->deregisters_at &&
-         store_.InService(worker->description.domain) && key.attempt > 0 &&
-         now.instant >= run.placed_at;
+         store_.InService(worker->description.domain) &&
+         checked.key.attempt > 0 && now.instant >= checked.run.placed_at;
 }
 
-std::optional<std::string> Dispatcher::StopReason(const RunKey& key,
-                                                  const Run& run,
+std::optional<std::string> Dispatcher::StopReason(const CheckedRun& checked,
                                                   const Now& now) const {
-  const JobRecord* job = store_.FindJob(key.task.job);
+  const RunKey& key = checked.key;
+  const Run& run = checked.run;
+  const JobRecord* job = checked.job;
   if (job == nullptr)
     return "job_unknown";
   const std::vector<TaskProgress>* tasks =
@@ -261,7 +249,7 @@
       return "gang_incomplete";
   }
   if (run.phase == RunPhase::kStarting) {
-    if (!MayStart(key, run, now))
+    if (!MayStart(checked, now))
       return "worker_leaving";
     const bool late =
         run.gang && run.first_sent_at &&
