--- a/tests/jobs/lost_worker_test.cc
+++ b/tests/jobs/lost_worker_test.cc
@@ -106,7 +106,7 @@
   CHECK(simulation.fleet().Running(task) == 1);
 }
 
-// The same for each further leader, which must not begin the wait anew.
+// Guards against a wait for an old start that each further leader begins anew.
 TEST_CASE("leader changes do not prolong the wait for an old start") {
   DispatchSimulation simulation({.workers = 2, .workers_per_rack = 1});
   simulation.RunFor(100);
