Draw random numbers in statements of their own

Change: each draw has a statement of its own, in the order in which arm64 evaluated the arguments, so schedules stay as they were there.

--- a/benchmarks/placement/scenarios.cc
+++ b/benchmarks/placement/scenarios.cc
@@ -277,10 +277,12 @@
   const double wanted =
       1.5 * 3600 * 1.5 * deployment.accelerators() * deployment.domains;
   for (double work = 0; work < wanted;) {
-    WorkloadJob job =
-        MakeJob("work-" + std::to_string(jobs.size()),
-                deployment.customers[random.Below(4)].id, 1,
-                1 << random.Below(3), 300 + random.Fraction() * 2100);
+    const cluster::CustomerConfiguration& customer =
+        deployment.customers[random.Below(4)];
+    const int accelerators = 1 << random.Below(3);
+    const double run_seconds = 300 + random.Fraction() * 2100;
+    WorkloadJob job = MakeJob("work-" + std::to_string(jobs.size()),
+                              customer.id, 1, accelerators, run_seconds);
     work += job.run_seconds * job.accelerators();
     jobs.push_back(job);
   }
--- a/tests/consensus/scenario_test.cc
+++ b/tests/consensus/scenario_test.cc
@@ -27,9 +27,9 @@
 
 void Write(Simulation& simulation, int count) {
   for (int i = 0; i < count; ++i) {
-    simulation.Propose(LeaderOf(simulation),
-                       RegisterMachine::Command(
-                           500000u + simulation.random().Below(1u << 30), 0),
+    SimulatedHost& leader = LeaderOf(simulation);
+    const std::uint64_t id = 500000u + simulation.random().Below(1u << 30);
+    simulation.Propose(leader, RegisterMachine::Command(id, 0),
                        [](const auto&) {});
     simulation.RunFor(milliseconds(20));
   }
--- a/tests/jobs/dispatcher_property_test.cc
+++ b/tests/jobs/dispatcher_property_test.cc
@@ -23,10 +23,10 @@
     std::vector<StepSpec> steps;
     const std::uint64_t sizes[] = {0, 1, 2, 4, 8};
     for (std::uint64_t i = 0; i <= random.Below(2); ++i) {
-      StepSpec step =
-          Step(static_cast<std::uint32_t>(1 + random.Below(6)),
-               sizes[random.Below(5)],
-               static_cast<std::uint32_t>(200 + random.Below(3000)));
+      const auto tasks = static_cast<std::uint32_t>(1 + random.Below(6));
+      const std::uint64_t accelerators = sizes[random.Below(5)];
+      const auto run_ms = static_cast<std::uint32_t>(200 + random.Below(3000));
+      StepSpec step = Step(tasks, accelerators, run_ms);
       step.gang = random.Below(2) == 0;
       step.rack_local = step.gang && random.Below(2) == 0;
       if (i > 0)
