Ignore removed log segments that a power loss brings back

Callers saw nothing answered any more after a loss of power in all domains: the schedulers on whose disk one of several removed segments was back, and the next one was not, ended at each start with "the file is missing".

Cause: removals that were not synced are undone independently by a loss of power, and Load() took every gap in the sequence of segments for lost records.

A segment's header now tells the highest index in all earlier segments, in a field of its batch that was 0 before.

The fake disk kept only a prefix of a folder's unsynced changes. It now keeps or loses each one independently, as a disk may.

--- a/libraries/consensus/codec.h
+++ b/libraries/consensus/codec.h
@@ -62,7 +62,9 @@
 };
 
 // The first frame of a segment. Its batch repeats the hard state and the
-// snapshot in force, so that earlier segments can be removed.
+// snapshot in force, so that earlier segments can be removed. Without entries,
+// its `first_index` follows the highest index in all earlier segments; 0 in
+// segments of older versions.
 struct SegmentHeader {
   std::uint32_t format = 0;
   std::string group;
--- a/libraries/consensus/log_storage.cc
+++ b/libraries/consensus/log_storage.cc
@@ -82,10 +82,16 @@
   header.state.hard_state = hard_state_.value_or(HardState());
   header.state.snapshot_index = snapshot_index_;
   header.state.snapshot_term = snapshot_term_;
+  // Segments that were removed had no entry after the snapshot.
+  Index last_index_before = snapshot_index_;
+  for (const Segment& segment : segments_)
+    last_index_before = std::max(last_index_before, segment.last_index);
+  header.state.first_index = last_index_before + 1;
   file_ = TRY(options_.disk->Create(SegmentName(sequence)));
   file_bytes_ = 0;
   reserved_bytes_ = 0;
-  segments_.push_back({.sequence = sequence});
+  segments_.push_back(
+      {.sequence = sequence, .last_index_before = last_index_before});
   starting_segment_ = true;
   TRY(WriteFrame(Encode(header)));
   TRY(options_.disk->SyncFolder());
@@ -180,7 +186,8 @@
 }
 
 // The record that names the new snapshot is durable, so files that only the old
-// one needs may go. A file that stays after a failed removal is only space.
+// one needs may go. The folder is not synced: a loss of power may bring back
+// any of them, which Load() accepts. A file that stays is only space.
 void LogStorage::RemoveObsolete() {
   while (segments_.size() > 1 &&
          segments_.front().last_index <= snapshot_index_) {
--- a/libraries/consensus/log_storage.h
+++ b/libraries/consensus/log_storage.h
@@ -71,6 +71,9 @@
     std::uint64_t sequence = 0;
     // The highest index of an entry in it; 0 when it has none.
     Index last_index = 0;
+    // The highest index of an entry in any segment before it. Empty when its
+    // header does not tell.
+    std::optional<Index> last_index_before;
   };
 
   static constexpr char kTemporarySnapshot[] = "snapshot.tmp";
@@ -79,6 +82,9 @@
   explicit LogStorage(LogStorageOptions options);
 
   DiskResult Load();
+  // The first segment after the last gap in the sequence; 0 without a gap.
+  std::size_t FirstAfterGap() const;
+  DiskResult DropBeforeGap(std::size_t first, Index snapshot_index);
   DiskResult LoadSegment(std::size_t position, LogReplay& replay);
   DiskResult ReplayFrame(Segment& segment,
                          const std::string& name,
--- a/libraries/consensus/log_storage_load.cc
+++ b/libraries/consensus/log_storage_load.cc
@@ -38,14 +38,11 @@
       segments_.push_back({.sequence = *sequence});
   }
   LogReplay replay;
-  for (std::size_t i = 0; i < segments_.size(); ++i) {
-    if (i > 0 && segments_[i].sequence != segments_[i - 1].sequence + 1) {
-      return base::Fail(base::ErrorCode::kCorruptData, "read log segment",
-                        SegmentName(segments_[i - 1].sequence + 1),
-                        "the file is missing");
-    }
+  const std::size_t first = FirstAfterGap();
+  for (std::size_t i = first; i < segments_.size(); ++i)
     TRY(LoadSegment(i, replay));
-  }
+  if (first > 0)
+    TRY(DropBeforeGap(first, replay.snapshot_index()));
   if (recovery_.torn_bytes > 0)
     TRY(CutTornTail());
   hard_state_ = stored_.hard_state = replay.hard_state();
@@ -63,6 +60,31 @@
   return std::monostate();
 }
 
+std::size_t LogStorage::FirstAfterGap() const {
+  for (std::size_t i = segments_.size(); i > 1; --i) {
+    if (segments_[i - 1].sequence != segments_[i - 2].sequence + 1)
+      return i - 1;
+  }
+  return 0;
+}
+
+// Removals that were not synced are undone independently by a loss of power, so
+// obsolete segments may be back while later ones are not. A segment is obsolete
+// when the snapshot covers its entries; any other one that is missing was lost.
+DiskResult LogStorage::DropBeforeGap(std::size_t first, Index snapshot_index) {
+  const std::optional<Index> last_index = segments_[first].last_index_before;
+  if (!last_index || *last_index > snapshot_index) {
+    return base::Fail(base::ErrorCode::kCorruptData, "read log segment",
+                      SegmentName(segments_[first - 1].sequence + 1),
+                      "the file is missing");
+  }
+  for (; first > 0; --first) {
+    TRY(options_.disk->Remove(SegmentName(segments_.front().sequence)));
+    segments_.pop_front();
+  }
+  return std::monostate();
+}
+
 DiskResult LogStorage::LoadSegment(std::size_t position, LogReplay& replay) {
   Segment& segment = segments_[position];
   const std::string name = SegmentName(segment.sequence);
@@ -102,6 +124,8 @@
   auto outcome = base::Capture([&]() -> DiskResult {
     if (offset == 0) {
       records = {TRY(CheckHeader(options_, kFormat, name, payload)).state};
+      if (records.front().first_index > 0)
+        segment.last_index_before = records.front().first_index - 1;
     } else {
       records = TRY(Decode<BatchRecords>(payload));
     }
--- a/tests/consensus/fake_disk.cc
+++ b/tests/consensus/fake_disk.cc
@@ -79,20 +79,36 @@
   return std::monostate();
 }
 
-void FakeDisk::ChangeNames() {
-  history_.push_back(names_);
+void FakeDisk::Apply(const NameChange& change, Names& names) {
+  if (!change.from.empty())
+    names.erase(change.from);
+  if (!change.to.empty())
+    names[change.to] = change.file;
+}
+
+void FakeDisk::ChangeNames(NameChange change) {
+  Apply(change, names_);
+  unsynced_changes_.push_back(std::move(change));
 }
 
 void FakeDisk::Crash() {
-  names_ = history_[random_.Below(history_.size())];
-  history_ = {names_};
+  names_ = durable_names_;
+  // Half of the crashes keep the changes up to a time, the others any of them.
+  const bool in_order = random_.Below(2) == 0;
+  const std::size_t limit = random_.Below(unsynced_changes_.size() + 1);
+  for (std::size_t i = 0; i < unsynced_changes_.size(); ++i) {
+    const bool kept = in_order ? i < limit : random_.Below(2) == 0;
+    if (kept)
+      Apply(unsynced_changes_[i], names_);
+  }
   for (auto& [name, file] : names_) {
-    // Other folder states may share the file, so it is copied.
+    // Open files refer to the state before the crash, so it is copied.
     auto copy = std::make_shared<File>();
     copy->bytes = copy->durable = AfterCrash(*file);
     file = std::move(copy);
   }
-  history_ = {names_};
+  durable_names_ = names_;
+  unsynced_changes_.clear();
   calls_left_.reset();
   failing_syncs_ = 0;
   bytes_left_.reset();
@@ -159,8 +175,7 @@
     const std::string& name) {
   TRY(Call(name));
   auto file = std::make_shared<File>();
-  names_[name] = file;
-  ChangeNames();
+  ChangeNames({.from = {}, .to = name, .file = file});
   return std::unique_ptr<DiskFile>(
       std::make_unique<FakeDiskFile>(*this, std::move(file)));
 }
@@ -184,22 +199,20 @@
 
 DiskResult FakeDisk::Rename(const std::string& from, const std::string& to) {
   TRY(Call(from));
-  names_[to] = names_.at(from);
-  names_.erase(from);
-  ChangeNames();
+  ChangeNames({.from = from, .to = to, .file = names_.at(from)});
   return std::monostate();
 }
 
 DiskResult FakeDisk::Remove(const std::string& name) {
   TRY(Call(name));
-  names_.erase(name);
-  ChangeNames();
+  ChangeNames({.from = name, .to = {}, .file = {}});
   return std::monostate();
 }
 
 DiskResult FakeDisk::SyncFolder() {
   TRY(Call("sync folder"));
-  history_ = {names_};
+  durable_names_ = names_;
+  unsynced_changes_.clear();
   return std::monostate();
 }
 
--- a/tests/consensus/fake_disk.h
+++ b/tests/consensus/fake_disk.h
@@ -14,8 +14,8 @@
 namespace wigeonstair::consensus {
 
 // A folder in memory that tells durable bytes from written ones. A crash keeps
-// any prefix of the folder's changes that were not synced, and of each file any
-// sectors that were written and not synced.
+// or loses each of the folder's changes that were not synced independently, and
+// of each file any sectors that were written and not synced.
 class FakeDisk final : public Disk {
  public:
   explicit FakeDisk(std::uint64_t seed) : random_(seed) {}
@@ -52,17 +52,26 @@
     std::optional<std::string> after_failed_sync;
   };
   using Names = std::map<std::string, std::shared_ptr<File>>;
+  // A creation, rename or removal. The file is no longer found under `from`,
+  // and is found under `to`; either may be empty.
+  struct NameChange {
+    std::string from;
+    std::string to;
+    std::shared_ptr<File> file;
+  };
 
   DiskResult Call(const std::string& name);
   // Takes the bytes from what the disk has left; returns how many fit.
   std::uint64_t TakeSpace(std::uint64_t bytes);
   std::string AfterCrash(const File& file);
-  void ChangeNames();
+  void ChangeNames(NameChange change);
+  static void Apply(const NameChange& change, Names& names);
 
   base::Random random_;
   Names names_;
-  // The folder after each change since the last sync, oldest first.
-  std::vector<Names> history_{{}};
+  Names durable_names_;
+  // Since the last sync of the folder, oldest first.
+  std::vector<NameChange> unsynced_changes_;
   std::optional<int> calls_left_;
   std::uint64_t calls_ = 0;
   int failing_syncs_ = 0;
--- a/tests/consensus/log_storage_test.cc
+++ b/tests/consensus/log_storage_test.cc
@@ -4,7 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <filesystem>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -47,6 +49,27 @@
   return batch;
 }
 
+std::vector<std::string> FileNames(FakeDisk& disk) {
+  return std::get<std::vector<std::string>>(
+      base::Capture([&] { return disk.List(); }));
+}
+
+std::string FileBytes(FakeDisk& disk, const std::string& name) {
+  return std::get<std::string>(base::Capture([&] { return disk.Read(name); }));
+}
+
+void WriteFile(FakeDisk& disk,
+               const std::string& name,
+               const std::string& bytes) {
+  const auto written = base::Capture([&]() -> DiskResult {
+    const auto file = TRY(disk.Create(name));
+    TRY(file->Append(bytes));
+    TRY(file->Sync());
+    return disk.SyncFolder();
+  });
+  REQUIRE_FALSE(std::holds_alternative<base::Error>(written));
+}
+
 // What a disk must hold after each batch of the script below.
 struct Model {
   std::optional<HardState> hard_state;
@@ -319,6 +342,65 @@
   }
 }
 
+// Guards against a scheduler that ends at each start after a loss of power, as
+// one of several removed segments is back on the disk and the next one is not.
+TEST_CASE("a removed segment that is back after a power loss is ignored") {
+  FakeDisk disk(1);
+  std::vector<std::string> removed;
+  std::string first_segment;
+  {
+    Opened opened = Open(disk);
+    LogStorage& storage = *std::get<0>(opened);
+    for (Index index = 1; index <= 30; ++index)
+      REQUIRE(Write(storage, Entries(index, index, 2)));
+    const std::vector<std::string> before = FileNames(disk);
+    first_segment = FileBytes(disk, before.front());
+    REQUIRE(Write(storage, WithSnapshot(28, LogAfterSnapshot::kKeep)));
+    const std::vector<std::string> after = FileNames(disk);
+    std::set_difference(before.begin(), before.end(), after.begin(),
+                        after.end(), std::back_inserter(removed));
+  }
+  REQUIRE(removed.size() > 1);
+  WriteFile(disk, removed.front(), first_segment);
+  for (Index index = 31; index <= 33; ++index) {
+    Opened opened = Open(disk);
+    if (const auto* error = std::get_if<base::Error>(&opened))
+      FAIL(error->ToString());
+    const StoredState stored = std::get<0>(opened)->TakeStoredState();
+    REQUIRE(stored.snapshot);
+    CHECK(stored.snapshot->index == 28);
+    CHECK(stored.entries.size() == index - 29);
+    CHECK(Write(*std::get<0>(opened), Entries(index, index, 2)));
+  }
+}
+
+// Guards against a lost segment that is taken for a removed one, because an
+// earlier one is still there.
+TEST_CASE("a missing segment with entries after the snapshot is refused") {
+  FakeDisk disk(1);
+  std::string first_segment;
+  std::vector<std::string> names;
+  {
+    Opened opened = Open(disk);
+    LogStorage& storage = *std::get<0>(opened);
+    for (Index index = 1; index <= 80; ++index)
+      REQUIRE(Write(storage, Entries(index, index, 2)));
+    names = FileNames(disk);
+    REQUIRE(names.size() > 5);
+    first_segment = FileBytes(disk, names.front());
+    REQUIRE(Write(storage, WithSnapshot(8, LogAfterSnapshot::kKeep)));
+  }
+  REQUIRE(FileNames(disk).front() > names.front());
+  WriteFile(disk, names.front(), first_segment);
+  // All segments but the first and the last.
+  for (std::size_t i = 1; i + 1 < names.size(); ++i)
+    base::Capture([&] { return disk.Remove(names[i]); });
+  Opened opened = Open(disk);
+  REQUIRE(std::holds_alternative<base::Error>(opened));
+  CHECK(std::get<base::Error>(opened).code == base::ErrorCode::kCorruptData);
+  CHECK(std::get<base::Error>(opened).peer == names[1]);
+}
+
 // Guards against a second fsync that hides the failure of the first, and shows
 // that the test notices storage that goes on.
 TEST_CASE("after a failed fsync nothing is acknowledged any more") {
