Acknowledge ends only to the incarnation that listed them

Tasks that had ended were started again after a worker restarted under its id while the scheduler that it reported to was frozen.

Cause: a hold with the acknowledged end of the former incarnation reached the new one, which numbers its ends anew and forgot ends that nobody had read. X-Expect-Instance names the id, which both have; with `born` in it every call is refused.

The answer tells the dispatcher what was acknowledged. Starts and stops need no such guard, since the lists and the fencing token of the next incarnation settle them.

--- a/libraries/jobs/actions.h
+++ b/libraries/jobs/actions.h
@@ -53,7 +53,7 @@
   std::uint64_t term = 0;
   std::uint64_t fencing_token = 0;
   // Ends up to this number are committed; the worker may drop them from its
-  // list.
+  // list. Must not reach another incarnation, which numbers its ends anew.
   std::uint64_t acknowledged_end = 0;
   // Long poll: the worker may delay the answer this long until a run ends.
   std::uint32_t wait_ms = 0;
@@ -145,6 +145,9 @@
   };
   std::optional<Lists> lists;
   bool fenced = false;
+  // What the call acknowledged; less than requested when the worker may have
+  // restarted since its last answer.
+  std::uint64_t acknowledged_end = 0;
 };
 
 }  // namespace wigeonstair::jobs
--- a/libraries/jobs/dispatcher_lists.cc
+++ b/libraries/jobs/dispatcher_lists.cc
@@ -140,7 +140,7 @@
   EndRemovedWorkersAt(worker->description.address);
   worker->next_hold_at = now.instant;
   worker->confirmed_end =
-      std::max(worker->confirmed_end, call.acknowledged_end);
+      std::max(worker->confirmed_end, answer.acknowledged_end);
   ReconcileRuns(*worker, sent_at, *answer.lists, now);
   ProcessEnds(*worker, *answer.lists, now);
 }
--- a/services/scheduler/worker_port.h
+++ b/services/scheduler/worker_port.h
@@ -17,6 +17,8 @@
                      std::function<void(jobs::CallAnswer)> done) = 0;
   virtual void Stop(const jobs::StopAction& call,
                     std::function<void(jobs::CallAnswer)> done) = 0;
+  // Acknowledges ends only to the incarnation that the call names; otherwise it
+  // acknowledges nothing, and the answer says so.
   virtual void Hold(const jobs::HoldAction& call,
                     std::function<void(jobs::HoldAnswer)> done) = 0;
 };
--- a/tests/jobs/dispatch_simulation.cc
+++ b/tests/jobs/dispatch_simulation.cc
@@ -208,10 +208,17 @@
     const bool timed_out =
         fleet_.now_ms() > hold.sent_ms + hold.call.wait_ms + kHoldMarginMs;
     std::optional<HoldAnswer> answer;
-    if (!lost)
-      answer = fleet_.Hold(hold.call, hold.sent_ms);
-    else if (timed_out)
+    if (!lost) {
+      // A worker port acknowledges ends only to the incarnation that it calls.
+      HoldAction delivered = hold.call;
+      if (worker->description.incarnation != delivered.worker)
+        delivered.acknowledged_end = 0;
+      answer = fleet_.Hold(delivered, hold.sent_ms);
+      if (answer)
+        answer->acknowledged_end = delivered.acknowledged_end;
+    } else if (timed_out) {
       answer = HoldAnswer{};
+    }
     if (!answer) {
       holds_.push_back(hold);
       continue;
--- a/tests/net/raw_server.cc
+++ b/tests/net/raw_server.cc
@@ -19,8 +19,9 @@
 
 constexpr int kPollMilliseconds = 50;
 
-// Reads one request: the header block and the announced body.
-bool ReadRequest(int connection, const std::atomic<bool>& stopping) {
+// Reads one request: the header block and the announced body. Returns an empty
+// text when the connection ends.
+std::string ReadRequest(int connection, const std::atomic<bool>& stopping) {
   std::string received;
   while (!stopping) {
     const std::size_t end = received.find("\r\n\r\n");
@@ -30,7 +31,7 @@
       const std::size_t length =
           field < end ? std::stoul(received.substr(field + name.size())) : 0;
       if (received.size() >= end + 4 + length)
-        return true;
+        return received;
     }
     pollfd poller{.fd = connection, .events = POLLIN, .revents = 0};
     if (poll(&poller, 1, kPollMilliseconds) <= 0)
@@ -38,10 +39,10 @@
     char buffer[4096];
     const ssize_t count = read(connection, buffer, sizeof(buffer));
     if (count <= 0)
-      return false;
+      return {};
     received.append(buffer, static_cast<std::size_t>(count));
   }
-  return false;
+  return {};
 }
 
 }  // namespace
@@ -76,6 +77,12 @@
   close(listener);
 }
 
+void RawServer::CloseConnections() {
+  const std::lock_guard lock(connections_mutex_);
+  for (const int connection : connections_)
+    shutdown(connection, SHUT_RDWR);
+}
+
 std::string RawServer::address() const {
   return "127.0.0.1:" + std::to_string(port_);
 }
@@ -89,8 +96,14 @@
     const int connection = accept(listener_, nullptr, nullptr);
     if (connection < 0)
       continue;
+    {
+      const std::lock_guard lock(connections_mutex_);
+      connections_.insert(connection);
+    }
     connections.emplace_back([this, connection] {
       ServeConnection(connection);
+      const std::lock_guard lock(connections_mutex_);
+      connections_.erase(connection);
       close(connection);
     });
   }
@@ -100,9 +113,13 @@
 
 void RawServer::ServeConnection(int connection) {
   bool kept = false;
-  while (ReadRequest(connection, stopping_)) {
+  while (true) {
+    std::string request = ReadRequest(connection, stopping_);
+    if (request.empty())
+      return;
     const std::string answer = [&] {
       std::lock_guard lock(script_mutex_);
+      request_ = std::move(request);
       if (std::exchange(kept, true))
         ++requests_on_kept_;
       return script_(requests_.fetch_add(1));
--- a/tests/net/raw_server.h
+++ b/tests/net/raw_server.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -26,6 +27,11 @@
 
   // Refuses further connections; the open ones are served on. For scripts.
   void StopListening();
+  // Closes the open connections, as the end of the peer's process does.
+  void CloseConnections();
+
+  // The bytes of the request that is being answered. For scripts.
+  const std::string& request() const { return request_; }
 
   std::string address() const;
   int requests() const { return requests_.load(); }
@@ -38,6 +44,9 @@
 
   Script script_;
   std::mutex script_mutex_;
+  std::string request_;
+  std::mutex connections_mutex_;
+  std::set<int> connections_;
   AfterAnswer after_answer_;
   std::atomic<int> listener_{-1};
   std::uint16_t port_ = 0;
--- a/tests/scheduler/placement_loop_test.cc
+++ b/tests/scheduler/placement_loop_test.cc
@@ -34,8 +34,10 @@
   }
   void Hold(const jobs::HoldAction& call,
             std::function<void(jobs::HoldAnswer)> done) override {
-    jobs::HoldAnswer answer{.lists = jobs::HoldAnswer::Lists{
-                                .born = call.worker.born, .clock_ms = 1000}};
+    jobs::HoldAnswer answer{
+        .lists =
+            jobs::HoldAnswer::Lists{.born = call.worker.born, .clock_ms = 1000},
+        .acknowledged_end = call.acknowledged_end};
     const std::lock_guard lock(mutex_);
     for (const jobs::RunKey& run : running_) {
       answer.lists->ended.push_back({.number = ++ends_,
