Hand over the vote of a scheduler that is replaced

After a planned replacement of a scheduler and the loss of another one's disk no accepted job and no configuration was answered any more.

Cause: a scheduler that shut down kept its vote, and a silent voter was replaced only after 5 s, by a new leader counted from its own election. A replaced host stops counting as lost 4 s after the start of its successor, so the next loss may come before.

A voter that shuts down now asks the leader to give its vote to a learner and waits for that. A silent voter is replaced after 2 s, the former leader is silent since its last message, and the removal of the old voter follows its replacement after 0.1 s.

--- a/libraries/jobs/api.h
+++ b/libraries/jobs/api.h
@@ -116,6 +116,17 @@
   }
 };
 
+// A scheduler that shuts down asks for its vote to be given to another member.
+// Answered once that is done, or when no member can take it.
+struct LeaveCall {
+  base::HostId host;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(host);
+  }
+};
+
 // Checks whether the called scheduler leads.
 struct PingCall {
   template <typename Archive>
@@ -131,7 +142,8 @@
                           ReadConfigurationCall,
                           SetDomainServiceCall,
                           JoinCall,
-                          PingCall>;
+                          PingCall,
+                          LeaveCall>;
 
 enum class ReplyStatus : std::uint8_t {
   kDone,
--- a/services/scheduler/call_service.cc
+++ b/services/scheduler/call_service.cc
@@ -20,6 +20,12 @@
 constexpr base::Duration kDeregistrationCheckInterval =
     std::chrono::milliseconds(40);
 
+// How long a call waits for the release of a vote. Below the time within which
+// jobs::LeaderClient expects an answer.
+constexpr base::Duration kVoteReleaseTimeout = std::chrono::milliseconds(700);
+constexpr base::Duration kVoteReleaseCheckInterval =
+    std::chrono::milliseconds(40);
+
 jobs::Reply Done() {
   return {.status = jobs::ReplyStatus::kDone};
 }
@@ -373,4 +379,29 @@
   ReadAfterBarrier(reply, [reply] { reply(Done()); });
 }
 
+void CallService::Execute(const jobs::LeaveCall& call,
+                          const ReplyCallback& reply) {
+  ReleaseVote(call.host, reply,
+              base::MonotonicClock::now() + kVoteReleaseTimeout);
+}
+
+void CallService::ReleaseVote(const base::HostId& host,
+                              const ReplyCallback& reply,
+                              base::Instant give_up_at) {
+  if (options_.placement->IsLeader() && options_.members->ReleaseVote(host)) {
+    reply(Done());
+    return;
+  }
+  if (!options_.placement->IsLeader() ||
+      base::MonotonicClock::now() >= give_up_at) {
+    reply({.status = jobs::ReplyStatus::kUnavailable,
+           .text = "the vote of the host is being given to another one"});
+    return;
+  }
+  options_.loop->Schedule(kVoteReleaseCheckInterval,
+                          [this, host, reply, give_up_at] {
+                            ReleaseVote(host, reply, give_up_at);
+                          });
+}
+
 }  // namespace wigeonstair::scheduler
--- a/services/scheduler/call_service.h
+++ b/services/scheduler/call_service.h
@@ -10,6 +10,7 @@
 #include "consensus/replica_runtime.h"
 #include "jobs/api.h"
 #include "net/event_loop.h"
+#include "services/scheduler/member_controller.h"
 #include "services/scheduler/placement_loop.h"
 #include "services/scheduler/replicated_jobs.h"
 
@@ -23,6 +24,7 @@
   ReplicatedJobs* jobs = nullptr;
   PlacementLoop* placement = nullptr;
   consensus::ReplicaRuntime* replica = nullptr;
+  MemberController* members = nullptr;
   base::CounterRegistry* counters = nullptr;
   std::shared_ptr<base::EventLog> log;
 };
@@ -56,6 +58,12 @@
                const ReplyCallback& reply);
   void Execute(const jobs::JoinCall& call, const ReplyCallback& reply);
   void Execute(const jobs::PingCall& call, const ReplyCallback& reply);
+  void Execute(const jobs::LeaveCall& call, const ReplyCallback& reply);
+  // Replies once the vote of the host is released, or that it has to call again
+  // at `give_up_at`.
+  void ReleaseVote(const base::HostId& host,
+                   const ReplyCallback& reply,
+                   base::Instant give_up_at);
 
   // Commits a command through the replicated log and replies with `map` of its
   // result.
--- a/services/scheduler/member_controller.cc
+++ b/services/scheduler/member_controller.cc
@@ -13,9 +13,13 @@
 constexpr base::Duration kPingTimeout = std::chrono::milliseconds(900);
 constexpr base::Duration kJoinTimeout = std::chrono::seconds(2);
 constexpr base::Duration kChangeTimeout = std::chrono::seconds(2);
-// Longer than the restart of a voter takes, so that a restart does not cause a
-// replacement.
-constexpr base::Duration kReplaceVoterAfter = std::chrono::seconds(5);
+// A host that was replaced counts as lost until its successor has run for 4 s.
+// After that another voter may lose its disk, so by then the successor must be
+// a voter and the replaced host must not be one any more.
+constexpr base::Duration kReplaceVoterAfter = std::chrono::seconds(2);
+// Delay before the change that follows another one. A learner that has caught
+// up becomes a voter within this time.
+constexpr base::Duration kNextChangeDelay = std::chrono::milliseconds(100);
 // A learner that is removed and comes back later asks to join again.
 constexpr base::Duration kRemoveLearnerAfter = std::chrono::seconds(30);
 
@@ -41,10 +45,11 @@
                                    const MemberHealthMap& member_health) {
   MembershipSummary summary;
   for (const consensus::Member& member : members) {
-    const base::Duration since_last_answer =
-        HealthOf(member_health, member.host).since_last_answer;
+    const MemberHealth health = HealthOf(member_health, member.host);
+    const base::Duration since_last_answer = health.since_last_answer;
     const bool answers =
-        member.host == self || since_last_answer < kReplaceVoterAfter;
+        member.host == self ||
+        (since_last_answer < kReplaceVoterAfter && !health.leaving);
     if (member.role == consensus::MemberRole::kCatchingUp && answers)
       summary.change_in_progress = true;
     if (member.role == consensus::MemberRole::kVoter) {
@@ -145,10 +150,15 @@
                   });
   if (status.role == consensus::Role::kLeader) {
     PingMembers(status.members);
-    Repair(status.members);
+    Repair();
     return;
   }
   answers_.clear();
+  releases_.clear();
+  if (!status.leader.empty() && status.since_leader_contact) {
+    answers_[status.leader] = {.at = base::MonotonicClock::now() -
+                                     *status.since_leader_contact};
+  }
   // A replica that was removed while it was unreachable still finds itself in
   // its own member list, but no leader contacts it any more.
   constexpr base::Duration kLeaderContactTimeout = std::chrono::seconds(7);
@@ -173,7 +183,9 @@
   for (const consensus::Member& member : members) {
     if (member.host == options_.self)
       continue;
-    answers_.try_emplace(member.host, Answer{.at = now});
+    const bool was_leader = last_leader_ && last_leader_->host == member.host;
+    answers_.try_emplace(member.host,
+                         Answer{.at = was_leader ? last_leader_->at : now});
     const auto channel = options_.channels->Open(member.address);
     if (!channel)
       continue;
@@ -183,6 +195,7 @@
                     RecordAnswer(host, outcome);
                   });
   }
+  last_leader_.reset();
 }
 
 void MemberController::RecordAnswer(const base::HostId& host,
@@ -198,16 +211,47 @@
                      .domain = decoded->domain};
 }
 
-void MemberController::Repair(const consensus::MemberList& members) {
-  if (change_in_flight_)
-    return;
+std::optional<consensus::MemberChange> MemberController::NextChange(
+    const consensus::MemberList& members) const {
   const base::Instant now = base::MonotonicClock::now();
   MemberHealthMap member_health{{options_.self, {.domain = options_.domain}}};
   for (const auto& [host, answer] : answers_)
     member_health[host] = {.since_last_answer = now - answer.at,
                            .domain = answer.domain};
-  const auto change = NextRepair(members, options_.self, member_health,
-                                 RequiredVoters(options_.tolerated_losses));
+  // After this time the silence of the host tells that it has ended.
+  for (const auto& [host, released_at] : releases_) {
+    if (now - released_at < kReplaceVoterAfter)
+      member_health[host].leaving = true;
+  }
+  return NextRepair(members, options_.self, member_health,
+                    RequiredVoters(options_.tolerated_losses));
+}
+
+bool MemberController::ReleaseVote(const base::HostId& host) {
+  releases_[host] = base::MonotonicClock::now();
+  const consensus::MemberList members = options_.replica->status().members;
+  const bool votes = std::any_of(
+      members.begin(), members.end(), [&](const consensus::Member& member) {
+        return member.host == host &&
+               member.role == consensus::MemberRole::kVoter;
+      });
+  if (!votes)
+    return true;
+  const bool in_progress =
+      change_in_flight_ ||
+      std::any_of(members.begin(), members.end(),
+                  [](const consensus::Member& member) {
+                    return member.role == consensus::MemberRole::kCatchingUp;
+                  });
+  Repair();
+  return !in_progress && !change_in_flight_;
+}
+
+void MemberController::Repair() {
+  const consensus::ReplicaStatus status = options_.replica->status();
+  if (change_in_flight_ || status.role != consensus::Role::kLeader)
+    return;
+  const auto change = NextChange(status.members);
   if (!change)
     return;
   change_in_flight_ = true;
@@ -219,7 +263,12 @@
               base::EventNumber::kMemberChangeFailed,
               {{"member", host.value()}, {"reason", error->ToString()}});
         }
-        options_.loop->Post([this] { change_in_flight_ = false; });
+        const bool failed = std::holds_alternative<base::Error>(outcome);
+        options_.loop->Post([this, failed] {
+          change_in_flight_ = false;
+          if (!failed)
+            options_.loop->Schedule(kNextChangeDelay, [this] { Repair(); });
+        });
       });
 }
 
--- a/services/scheduler/member_controller.h
+++ b/services/scheduler/member_controller.h
@@ -19,6 +19,8 @@
   base::Duration since_last_answer{};
   // The member's failure domain; empty before its first answer.
   base::DomainId domain;
+  // The member shuts down; its vote goes to another one.
+  bool leaving = false;
 };
 using MemberHealthMap = std::map<base::HostId, MemberHealth>;
 
@@ -28,9 +30,9 @@
 std::size_t RequiredVoters(std::size_t losses);
 
 // Returns the next membership change that repairs the group, if one is needed.
-// A voter that has stopped answering is replaced by a learner that answers, and
-// voters are spread over the failure domains, so that the loss of one domain
-// takes few of them. Has no side effects.
+// A voter that shuts down or has stopped answering is replaced by a learner
+// that answers, and voters are spread over the failure domains, so that the
+// loss of one domain takes few of them. Has no side effects.
 std::optional<consensus::MemberChange> NextRepair(
     const consensus::MemberList& members,
     const base::HostId& self,
@@ -60,12 +62,21 @@
 
   void Start();
 
+  // Gives the vote of `host`, which shuts down, to another member. Returns true
+  // when the host has no vote left or no member can take it; to be called again
+  // otherwise. Only while this host leads.
+  bool ReleaseVote(const base::HostId& host);
+
  private:
   void Tick();
   void Join();
   void PingMembers(const consensus::MemberList& members);
   void RecordAnswer(const base::HostId& host, const net::CallOutcome& outcome);
-  void Repair(const consensus::MemberList& members);
+  // Makes the next change of members, if this host leads and none is being
+  // made.
+  void Repair();
+  std::optional<consensus::MemberChange> NextChange(
+      const consensus::MemberList& members) const;
 
   const MemberControllerOptions options_;
   struct Answer {
@@ -73,6 +84,15 @@
     base::DomainId domain;
   };
   std::map<base::HostId, Answer> answers_;
+  struct LeaderContact {
+    base::HostId host;
+    base::Instant at;
+  };
+  // The leader that this host followed last, until this host leads and has
+  // called it. A new leader knows by this how long the lost one is silent.
+  std::optional<LeaderContact> last_leader_;
+  // When the members that shut down last asked for the release of their votes.
+  std::map<base::HostId, base::Instant> releases_;
   bool change_in_flight_ = false;
   bool join_in_flight_ = false;
 };
--- a/services/scheduler/scheduler_process.cc
+++ b/services/scheduler/scheduler_process.cc
@@ -84,6 +84,9 @@
                         base::Instant deadline,
                         const std::function<void(jobs::Reply)>& done);
   jobs::Envelope LeaderHint() const;
+  // Asks the leader to give the vote of this host to another member, if there
+  // is one without a vote. Blocks until that is done, or until `deadline`.
+  void ReleaseVote(base::Instant deadline);
 
   const SchedulerOptions options;
   const std::string self;
@@ -93,8 +96,8 @@
   jobs::LeaderClient leader;
   std::unique_ptr<PlacementLoop> placement;
   std::unique_ptr<consensus::ReplicaRuntime> replica;
-  std::unique_ptr<CallService> calls;
   std::unique_ptr<MemberController> members;
+  std::unique_ptr<CallService> calls;
   std::unique_ptr<net::MessageServer> server;
 };
 
@@ -134,13 +137,6 @@
                            .dispatcher = options.dispatcher,
                            .leader_lease = GroupTiming().lease});
   TRY(OpenReplica());
-  calls = std::make_unique<CallService>(
-      CallServiceOptions{.loop = &loop,
-                         .jobs = &jobs,
-                         .placement = placement.get(),
-                         .replica = replica.get(),
-                         .counters = options.counters,
-                         .log = options.log});
   members = std::make_unique<MemberController>(
       MemberControllerOptions{.loop = &loop,
                               .channels = &channels,
@@ -151,6 +147,14 @@
                               .address = self,
                               .domain = options.domain,
                               .tolerated_losses = options.tolerated_losses});
+  calls = std::make_unique<CallService>(
+      CallServiceOptions{.loop = &loop,
+                         .jobs = &jobs,
+                         .placement = placement.get(),
+                         .replica = replica.get(),
+                         .members = members.get(),
+                         .counters = options.counters,
+                         .log = options.log});
   server = TRY(net::MessageServer::create(
       loop, {.address = options.messages,
              .cluster = options.cluster,
@@ -237,6 +241,38 @@
   });
 }
 
+void SchedulerProcess::Implementation::ReleaseVote(base::Instant deadline) {
+  using consensus::Member;
+  using consensus::MemberRole;
+  const consensus::MemberList group = replica->status().members;
+  const bool votes =
+      std::any_of(group.begin(), group.end(), [&](const Member& member) {
+        return member.host == base::HostId(self) &&
+               member.role == MemberRole::kVoter;
+      });
+  const bool has_other = std::any_of(
+      group.begin(), group.end(),
+      [](const Member& member) { return member.role != MemberRole::kVoter; });
+  if (!votes || !has_other)
+    return;
+  // Without a leader a call fails early and is repeated.
+  while (base::MonotonicClock::now() < deadline) {
+    auto replied = std::make_shared<std::promise<jobs::ReplyStatus>>();
+    auto status = replied->get_future();
+    leader.Send(jobs::LeaveCall{.host = base::HostId(self)}, deadline,
+                [replied](const jobs::LeaderCallResult& result) {
+                  replied->set_value(result.reply.status);
+                });
+    const base::Duration left = deadline - base::MonotonicClock::now();
+    if (status.wait_for(left) != std::future_status::ready)
+      return;
+    const jobs::ReplyStatus answer = status.get();
+    if (answer != jobs::ReplyStatus::kUnavailable &&
+        answer != jobs::ReplyStatus::kUnknown)
+      return;
+  }
+}
+
 base::Result<std::unique_ptr<SchedulerProcess>> SchedulerProcess::create(
     SchedulerOptions options) {
   auto implementation = std::make_unique<Implementation>(std::move(options));
@@ -275,11 +311,13 @@
 }
 
 void SchedulerProcess::Drain(base::Duration timeout) {
+  const base::Instant deadline = base::MonotonicClock::now() + timeout;
   auto done = std::make_shared<std::promise<void>>();
   auto waiting = done->get_future();
   implementation_->replica->TransferLeadership(timeout,
                                                [done] { done->set_value(); });
   waiting.wait_for(timeout);
+  implementation_->ReleaseVote(deadline);
 }
 
 }  // namespace wigeonstair::scheduler
--- a/services/scheduler/scheduler_process.h
+++ b/services/scheduler/scheduler_process.h
@@ -63,8 +63,9 @@
   // Adds message addresses at which to look for the leader, such as those from
   // reloaded settings.
   void AddSeeds(const std::vector<std::string>& seeds);
-  // Transfers leadership before a planned shutdown; blocks for at most
-  // `timeout`.
+  // Before a planned shutdown: transfers the leadership, and the vote of this
+  // host to a member without one, so that the group tolerates as many losses as
+  // before. Blocks for at most `timeout`.
   void Drain(base::Duration timeout);
 
  private:
--- a/tests/scheduler/member_controller_test.cc
+++ b/tests/scheduler/member_controller_test.cc
@@ -85,6 +85,47 @@
   CHECK(change->host == base::HostId("c"));
 }
 
+// Guards against the loss of all that was acknowledged when another voter loses
+// its disk 4 s after the successor of a dead one has started.
+TEST_CASE(
+    "a silent voter is replaced before its successor counts as caught up") {
+  const consensus::MemberList members{MakeMember("a", MemberRole::kVoter),
+                                      MakeMember("b", MemberRole::kVoter),
+                                      MakeMember("c", MemberRole::kVoter),
+                                      MakeMember("d", MemberRole::kLearner)};
+  // Leaves three ticks of 0.5 s for the changes.
+  const MemberHealthMap member_health{
+      {base::HostId("c"),
+       {.since_last_answer = std::chrono::milliseconds(2500)}}};
+  const auto change =
+      NextRepair(members, kSelf, member_health, RequiredVoters(1));
+  REQUIRE(change);
+  CHECK(change->kind == MemberChangeKind::kAddVoter);
+  CHECK(change->host == base::HostId("d"));
+}
+
+// Guards against a voter that ends on a planned shutdown and takes its vote
+// with it, although another member could have it.
+TEST_CASE("a voter that shuts down is replaced while it still answers") {
+  consensus::MemberList members{MakeMember("a", MemberRole::kVoter),
+                                MakeMember("b", MemberRole::kVoter),
+                                MakeMember("c", MemberRole::kVoter),
+                                MakeMember("d", MemberRole::kLearner),
+                                MakeMember("e", MemberRole::kLearner)};
+  // The second one has no vote, and must not get one.
+  const MemberHealthMap member_health{{base::HostId("b"), {.leaving = true}},
+                                      {base::HostId("d"), {.leaving = true}}};
+  auto change = NextRepair(members, kSelf, member_health, RequiredVoters(1));
+  REQUIRE(change);
+  CHECK(change->kind == MemberChangeKind::kAddVoter);
+  CHECK(change->host == base::HostId("e"));
+  members[4].role = MemberRole::kVoter;
+  change = NextRepair(members, kSelf, member_health, RequiredVoters(1));
+  REQUIRE(change);
+  CHECK(change->kind == MemberChangeKind::kRemove);
+  CHECK(change->host == base::HostId("b"));
+}
+
 // Guards against a group that removes unresponsive voters until it has lost its
 // majority: it would shrink to two voters and then to none.
 TEST_CASE("an unresponsive voter without a replacement is not removed") {
