--- a/services/scheduler/member_controller.cc
+++ b/services/scheduler/member_controller.cc
@@ -228,7 +228,11 @@
 }
 
 bool MemberController::ReleaseVote(const base::HostId& host) {
-  releases_[host] = base::MonotonicClock::now();
+  const base::Instant now = base::MonotonicClock::now();
+  std::erase_if(releases_, [&](const auto& release) {
+    return now - release.second >= kReplaceVoterAfter;
+  });
+  releases_[host] = now;
   const consensus::MemberList members = options_.replica->status().members;
   const bool votes = std::any_of(
       members.begin(), members.end(), [&](const consensus::Member& member) {
