--- a/tests/scheduler/member_controller_test.cc
+++ b/tests/scheduler/member_controller_test.cc
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace wigeonstair::scheduler {
 
@@ -16,6 +17,16 @@
   return {.host = base::HostId(name), .address = name, .role = role};
 }
 
+// Voters "a", "b" and "c", followed by `learners`.
+consensus::MemberList ThreeVotersAnd(const std::vector<std::string>& learners) {
+  consensus::MemberList members;
+  for (const char* voter : {"a", "b", "c"})
+    members.push_back(MakeMember(voter, MemberRole::kVoter));
+  for (const std::string& learner : learners)
+    members.push_back(MakeMember(learner, MemberRole::kLearner));
+  return members;
+}
+
 constexpr base::Duration kLongSilence = std::chrono::seconds(8);
 
 const base::HostId kSelf("a");
@@ -36,22 +47,14 @@
 }  // namespace
 
 TEST_CASE("a healthy group needs no membership change") {
-  const consensus::MemberList members{MakeMember("a", MemberRole::kVoter),
-                                      MakeMember("b", MemberRole::kVoter),
-                                      MakeMember("c", MemberRole::kVoter),
-                                      MakeMember("d", MemberRole::kLearner)};
+  const consensus::MemberList members = ThreeVotersAnd({"d"});
   CHECK_FALSE(NextRepair(members, kSelf, {}, RequiredVoters(1)));
 }
 
 // Guards against the loss of acknowledged jobs when two hosts lose their disks
 // at the same time after the acknowledgement (fault wipe_after_ack).
 TEST_CASE("a group that must tolerate two losses grows to five voters") {
-  consensus::MemberList members{MakeMember("a", MemberRole::kVoter),
-                                MakeMember("b", MemberRole::kVoter),
-                                MakeMember("c", MemberRole::kVoter),
-                                MakeMember("d", MemberRole::kLearner),
-                                MakeMember("e", MemberRole::kLearner),
-                                MakeMember("f", MemberRole::kLearner)};
+  consensus::MemberList members = ThreeVotersAnd({"d", "e", "f"});
   int added = 0;
   while (const auto change =
              NextRepair(members, kSelf, {}, RequiredVoters(2))) {
@@ -66,10 +69,7 @@
 }
 
 TEST_CASE("a learner replaces a voter that has stopped answering") {
-  consensus::MemberList members{MakeMember("a", MemberRole::kVoter),
-                                MakeMember("b", MemberRole::kVoter),
-                                MakeMember("c", MemberRole::kVoter),
-                                MakeMember("d", MemberRole::kLearner)};
+  consensus::MemberList members = ThreeVotersAnd({"d"});
   const MemberHealthMap member_health = Unresponsive("c");
   auto change = NextRepair(members, kSelf, member_health, RequiredVoters(1));
   REQUIRE(change);
@@ -89,10 +89,7 @@
 // its disk 4 s after the successor of a dead one has started.
 TEST_CASE(
     "a silent voter is replaced before its successor counts as caught up") {
-  const consensus::MemberList members{MakeMember("a", MemberRole::kVoter),
-                                      MakeMember("b", MemberRole::kVoter),
-                                      MakeMember("c", MemberRole::kVoter),
-                                      MakeMember("d", MemberRole::kLearner)};
+  const consensus::MemberList members = ThreeVotersAnd({"d"});
   // Leaves three ticks of 0.5 s for the changes.
   const MemberHealthMap member_health{
       {base::HostId("c"),
@@ -107,12 +104,8 @@
 // Guards against a voter that ends on a planned shutdown and takes its vote
 // with it, although another member could have it.
 TEST_CASE("a voter that shuts down is replaced while it still answers") {
-  consensus::MemberList members{MakeMember("a", MemberRole::kVoter),
-                                MakeMember("b", MemberRole::kVoter),
-                                MakeMember("c", MemberRole::kVoter),
-                                MakeMember("d", MemberRole::kLearner),
-                                MakeMember("e", MemberRole::kLearner)};
-  // The second one has no vote, and must not get one.
+  consensus::MemberList members = ThreeVotersAnd({"d", "e"});
+  // "b" loses its vote to "e", since "d" shuts down as well.
   const MemberHealthMap member_health{{base::HostId("b"), {.leaving = true}},
                                       {base::HostId("d"), {.leaving = true}}};
   auto change = NextRepair(members, kSelf, member_health, RequiredVoters(1));
@@ -129,20 +122,14 @@
 // Guards against a group that removes unresponsive voters until it has lost its
 // majority: it would shrink to two voters and then to none.
 TEST_CASE("an unresponsive voter without a replacement is not removed") {
-  const consensus::MemberList members{MakeMember("a", MemberRole::kVoter),
-                                      MakeMember("b", MemberRole::kVoter),
-                                      MakeMember("c", MemberRole::kVoter)};
+  const consensus::MemberList members = ThreeVotersAnd({});
   CHECK_FALSE(NextRepair(members, kSelf, Unresponsive("c"), RequiredVoters(1)));
 }
 
 // Guards against a majority of the voters in one failure domain, whose loss
 // would stop the group.
 TEST_CASE("voters are spread over the failure domains") {
-  consensus::MemberList members{MakeMember("a", MemberRole::kVoter),
-                                MakeMember("b", MemberRole::kVoter),
-                                MakeMember("c", MemberRole::kVoter),
-                                MakeMember("d", MemberRole::kLearner),
-                                MakeMember("e", MemberRole::kLearner)};
+  consensus::MemberList members = ThreeVotersAnd({"d", "e"});
   const MemberHealthMap member_health = HealthWithDomains(
       {{"a", "1"}, {"b", "1"}, {"c", "1"}, {"d", "1"}, {"e", "2"}});
   auto change = NextRepair(members, kSelf, member_health, RequiredVoters(1));
