--- a/tests/end_to_end/child_process.h
+++ b/tests/end_to_end/child_process.h
@@ -22,6 +22,8 @@
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
 
+  pid_t id() const { return process_; }
+
   // Returns after SIGSTOP only when the process has stopped. On a busy machine
   // its threads run on until one of them has taken the signal.
   void Signal(int signal) const;
