Read the weight and the cap of customers

Cause: the configuration of a customer has a weight and a cap, which were read over.

Change: jobs::Customer holds them. Out of range they are refused, and the error names the field; a weight of 0 is accepted, since nothing says that it makes a configuration invalid.

--- a/libraries/jobs/command.h
+++ b/libraries/jobs/command.h
@@ -18,9 +18,16 @@
   // The document as the operator sent it, returned by reads.
   std::string document;
 
+  // The limits come last in the body of the command and of its call.
   template <typename Archive>
-  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+  void save(Archive& archive) const {  // NOLINT: cereal's name.
+    archive(configuration, document);
+    SaveLimits(archive, configuration);
+  }
+  template <typename Archive>
+  void load(Archive& archive) {  // NOLINT: cereal's name.
     archive(configuration, document);
+    LoadLimits(archive, configuration);
   }
 };
 
--- a/libraries/jobs/configuration.cc
+++ b/libraries/jobs/configuration.cc
@@ -45,4 +45,31 @@
   return found == customers.end() ? nullptr : &*found;
 }
 
+std::vector<CustomerLimits> LimitsOf(const Configuration& configuration) {
+  std::vector<CustomerLimits> limits;
+  for (std::size_t i = 0; i < configuration.customers.size(); ++i) {
+    const Customer& customer = configuration.customers[i];
+    CustomerLimits entry{.customer = static_cast<std::uint32_t>(i)};
+    const bool differs =
+        customer.weight != entry.weight || customer.cap != entry.cap;
+    if (!differs)
+      continue;
+    entry.weight = customer.weight;
+    entry.cap = customer.cap;
+    limits.push_back(entry);
+  }
+  return limits;
+}
+
+void SetLimits(Configuration& configuration,
+               const std::vector<CustomerLimits>& limits) {
+  for (const CustomerLimits& entry : limits) {
+    if (entry.customer >= configuration.customers.size())
+      continue;
+    Customer& customer = configuration.customers[entry.customer];
+    customer.weight = entry.weight;
+    customer.cap = entry.cap;
+  }
+}
+
 }  // namespace wigeonstair::jobs
--- a/libraries/jobs/configuration.h
+++ b/libraries/jobs/configuration.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/strong_id.h"
+#include "jobs/job.h"
 
 namespace wigeonstair::jobs {
 
@@ -60,15 +61,38 @@
   // Accelerators that are guaranteed to the customer's jobs of priority 0;
   // other jobs are preempted for them.
   std::uint64_t guaranteed_accelerators = 0;
+  // The customer's share, in proportion to the others, when the fleet is full.
+  // Finite and not negative.
+  double weight = 1;
+  // What the customer may have running in total; 0 is no limit.
+  Resources cap;
 
   bool operator==(const Customer&) const = default;
 
+  // Without `weight` and `cap`; see CustomerLimits.
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: cereal's name.
     archive(id, keys, guaranteed_accelerators);
   }
 };
 
+// What was added to a customer after the first format of the log. Stored behind
+// the configuration, and only for customers with values other than the
+// defaults: earlier versions read and write configurations without them.
+struct CustomerLimits {
+  // Index into the customers of the configuration.
+  std::uint32_t customer = 0;
+  double weight = 1;
+  Resources cap;
+
+  bool operator==(const CustomerLimits&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(customer, weight, cap);
+  }
+};
+
 // The queue that a path belongs to, and the part of the path after the prefix.
 struct QueueMatch {
   const Queue* queue = nullptr;
@@ -99,6 +123,28 @@
   }
 };
 
+std::vector<CustomerLimits> LimitsOf(const Configuration& configuration);
+void SetLimits(Configuration& configuration,
+               const std::vector<CustomerLimits>& limits);
+
+// Writes the limits as the last part of a body, or nothing when all are the
+// defaults.
+template <typename Archive>
+void SaveLimits(Archive& archive, const Configuration& configuration) {
+  if (const auto limits = LimitsOf(configuration); !limits.empty())
+    archive(limits);
+}
+
+// Reads what SaveLimits() wrote.
+template <typename Archive>
+void LoadLimits(Archive& archive, Configuration& configuration) {
+  if (archive.remaining() == 0)
+    return;
+  std::vector<CustomerLimits> limits;
+  archive(limits);
+  SetLimits(configuration, limits);
+}
+
 }  // namespace wigeonstair::jobs
 
 #endif  // WIGEONSTAIR_LIBRARIES_JOBS_CONFIGURATION_H_
--- a/libraries/jobs/job_store.cc
+++ b/libraries/jobs/job_store.cc
@@ -31,14 +31,23 @@
 // What a snapshot holds; refers to the parts.
 template <typename Store>
 struct SnapshotContent {
+  template <typename Part>
+  using Reference =
+      std::conditional_t<std::is_const_v<Store>, const Part, Part>&;
+
   Store& store;
-  std::conditional_t<std::is_const_v<Store>,
-                     const std::map<WorkerIncarnation, std::uint64_t>,
-                     std::map<WorkerIncarnation, std::uint64_t>>& deregistered;
+  Reference<std::map<WorkerIncarnation, std::uint64_t>> deregistered;
+  Reference<Configuration> configuration;
 
   template <typename Archive>
-  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+  void save(Archive& archive) const {  // NOLINT: cereal's name.
+    archive(store, deregistered);
+    SaveLimits(archive, configuration);
+  }
+  template <typename Archive>
+  void load(Archive& archive) {  // NOLINT: cereal's name.
     archive(store, deregistered);
+    LoadLimits(archive, configuration);
   }
 };
 
@@ -278,14 +287,16 @@
 }
 
 std::string JobStore::Snapshot() const {
-  return net::Encode(SnapshotContent<const JobStore>{*this, deregistered_});
+  return net::Encode(
+      SnapshotContent<const JobStore>{*this, deregistered_, configuration_});
 }
 
 base::Result<std::monostate> JobStore::Restore(std::string_view snapshot) {
   JobStore restored;
   // Snapshots of versions before DeregisterWorker hold the store only.
   const auto complete = base::Capture([&] {
-    SnapshotContent<JobStore> content{restored, restored.deregistered_};
+    SnapshotContent<JobStore> content{restored, restored.deregistered_,
+                                      restored.configuration_};
     return net::DecodeInto(content, snapshot);
   });
   if (std::holds_alternative<base::Error>(complete))
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -53,6 +53,17 @@
           .address = address};
 }
 
+// PutConfiguration in versions before CustomerLimits.
+struct EarlierConfiguration {
+  Configuration configuration;
+  std::string document;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(configuration, document);
+  }
+};
+
 }  // namespace
 
 TEST_CASE("a job that is submitted again is stored once") {
@@ -198,6 +209,51 @@
   CHECK(std::get<AdmittedCall>(deep).queue->name == "deep");
 }
 
+// Guards against a leader that replays its log, or reads a snapshot, and knows
+// no caps afterwards.
+TEST_CASE("the limits of customers are in the log, calls and snapshots") {
+  const PutConfiguration put{
+      .configuration = {.version = 3,
+                        .customers = {{.id = base::CustomerId("plain")},
+                                      {.id = base::CustomerId("c"),
+                                       .keys = {"k"},
+                                       .weight = 2.5,
+                                       .cap = {.cpu = 7, .accelerators = 8}}}},
+      .document = "three"};
+  const auto command = DecodeCommand(EncodeCommand(put));
+  REQUIRE(command);
+  CHECK(std::get<PutConfiguration>(*command).configuration ==
+        put.configuration);
+  const auto call = DecodeCall(EncodeCall(PutConfigurationCall{.change = put}));
+  REQUIRE(call);
+  CHECK(std::get<PutConfigurationCall>(*call).change.configuration ==
+        put.configuration);
+  JobStore store;
+  store.Apply(put);
+  JobStore restored;
+  REQUIRE(restored.Restore(store.Snapshot()));
+  CHECK(restored.configuration() == put.configuration);
+  CHECK(restored.document() == "three");
+}
+
+TEST_CASE("a configuration without limits is stored as by earlier versions") {
+  const PutConfiguration put{
+      .configuration = {.version = 3,
+                        .customers = {{.id = base::CustomerId("c")}}},
+      .document = "three"};
+  const std::string bytes = net::Encode(put);
+  CHECK(bytes == net::Encode(EarlierConfiguration{put.configuration, "three"}));
+  const auto decoded = net::Decode<PutConfiguration>(bytes);
+  REQUIRE(decoded);
+  CHECK(decoded->configuration == put.configuration);
+  PutConfiguration limited = put;
+  limited.configuration.customers[0].cap.cpu = 1;
+  const std::string longer = net::Encode(limited);
+  CHECK(longer.starts_with(bytes));
+  CHECK_FALSE(net::Decode<PutConfiguration>(
+      std::string_view(longer).substr(0, longer.size() - 1)));
+}
+
 // Guards against a host that cannot start again because of what it stored.
 TEST_CASE("a store with odd workers is restored from its snapshot") {
   constexpr std::uint64_t kHighest = std::numeric_limits<std::uint64_t>::max();
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -155,6 +155,53 @@
   }
 }
 
+TEST_CASE("the weight and the cap of a customer are decoded") {
+  const std::string good =
+      Replaced(kConfiguration, R"("Guaranteed")",
+               R"("Weight":4,"Cap":{"Cpu":2436470,"MemMb":5589781,"Gpu":572},)"
+               R"("Guaranteed")");
+  const auto customer = DecodeConfiguration(good).value().customers[0];
+  CHECK(customer.weight == 4);
+  CHECK(customer.cap == jobs::Resources{.cpu = 2436470,
+                                        .memory_mb = 5589781,
+                                        .accelerators = 572});
+  // A dimension that is left out has no limit, and so has a customer without.
+  CHECK(DecodeConfiguration(Replaced(good, R"("MemMb":5589781,)", ""))
+            .value()
+            .customers[0]
+            .cap == jobs::Resources{.cpu = 2436470, .accelerators = 572});
+  const auto plain = DecodeConfiguration(kConfiguration).value().customers[0];
+  CHECK(plain.weight == 1);
+  CHECK(plain.cap == jobs::Resources{});
+  // Not among what makes a configuration invalid.
+  CHECK(DecodeConfiguration(Replaced(good, R"("Weight":4)", R"("Weight":0)"))
+            .value()
+            .customers[0]
+            .weight == 0);
+}
+
+TEST_CASE("a weight or cap out of range is refused and its field named") {
+  const std::string good =
+      Replaced(kConfiguration, R"("Guaranteed")",
+               R"("Weight":4,"Cap":{"Cpu":5,"MemMb":6,"Gpu":7},"Guaranteed")");
+  const std::pair<const char*, std::string> wrong[] = {
+      {"'Weight'", Replaced(good, R"("Weight":4)", R"("Weight":-1)")},
+      {"'Weight'", Replaced(good, R"("Weight":4)", R"("Weight":1e300)")},
+      {"'Weight'", Replaced(good, R"("Weight":4)", R"("Weight":"4")")},
+      {"'Cap'", Replaced(good, R"({"Cpu":5,"MemMb":6,"Gpu":7})", "7")},
+      {"'Cpu'", Replaced(good, R"("Cpu":5)", R"("Cpu":-5)")},
+      {"'MemMb'", Replaced(good, R"("MemMb":6)", R"("MemMb":6.5)")},
+      {"'Gpu'", Replaced(good, R"("Gpu":7)", R"("Gpu":18446744073709551615)")}};
+  for (const auto& [field, text] : wrong) {
+    INFO(text);
+    const auto decoded = base::Capture(
+        [&, &document = text] { return DecodeConfiguration(document); });
+    const auto* error = std::get_if<base::Error>(&decoded);
+    REQUIRE(error != nullptr);
+    CHECK(error->detail.find(field) != std::string::npos);
+  }
+}
+
 // Guards against sums that overflow, and against a job whose tasks fill the
 // memory of each host that leads.
 TEST_CASE("a job with a value out of range is rejected") {
