Keep what a customer has running within its cap

Change: the dispatcher keeps an account of each customer, the sum over all runs that may exist, where it indexes and unindexes runs. Before it places a step it limits the tasks to what the cap of the newest applied configuration allows, a gang to all or none. A start that was not sent yet is not sent, and one that was not answered is stopped and not sent again, while the account is above the cap. A step at the cap takes no part in a round, and a step that it holds back is left the room by less urgent ones of its customer. Waiting steps are explained as customer_cap and larger_than_customer_cap.

--- a/libraries/jobs/dispatcher.cc
+++ b/libraries/jobs/dispatcher.cc
@@ -41,6 +41,7 @@
   uncommitted_returns_.clear();
   runs_.clear();
   runs_by_worker_.clear();
+  accounts_.Clear();
   lost_attempts_.clear();
   pending_.clear();
   claims_.clear();
@@ -110,16 +111,20 @@
 
 void Dispatcher::IndexRun(const RunKey& key, const Run& run) {
   RunsOfWorker& of_worker = runs_by_worker_[run.worker];
-  if (of_worker.runs.emplace(key, &run).second)
-    of_worker.in_use += run.resources;
+  if (!of_worker.runs.emplace(key, &run).second)
+    return;
+  of_worker.in_use += run.resources;
+  accounts_.Add(run.customer, run.cap_demand);
 }
 
 void Dispatcher::UnindexRun(const RunKey& key, const Run& run) {
   const auto of_worker = runs_by_worker_.find(run.worker);
   if (of_worker == runs_by_worker_.end())
     return;
-  if (of_worker->second.runs.erase(key) > 0)
+  if (of_worker->second.runs.erase(key) > 0) {
     of_worker->second.in_use -= run.resources;
+    accounts_.Remove(run.customer, run.cap_demand);
+  }
   if (of_worker->second.runs.empty())
     runs_by_worker_.erase(of_worker);
 }
@@ -310,6 +315,7 @@
   if (!leads())
     return;
   SyncWorkers(now);
+  caps_.Sync(store_.configuration());
   ExpireWorkers(now);
   AdvanceRuns(now);
   RetryReturns(now);
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -17,6 +17,7 @@
 #include "base/monotonic_clock.h"
 #include "jobs/actions.h"
 #include "jobs/api.h"
+#include "jobs/customer_cap.h"
 #include "jobs/decision.h"
 #include "jobs/job_store.h"
 #include "jobs/placement_history.h"
@@ -109,6 +110,9 @@
     return unused_workers_;
   }
   std::size_t waiting_tasks() const { return waiting_tasks_; }
+  const CustomerCaps& caps() const { return caps_; }
+  const CustomerAccounts& accounts() const { return accounts_; }
+  CustomerAccounts RecountAccounts() const;  // A sum over all runs, for tests.
 
  private:
   enum class RunPhase {
@@ -130,6 +134,7 @@
     RunPhase phase = RunPhase::kProposed;
     WorkerIncarnation worker;
     Resources resources;
+    Resources cap_demand;
     bool gang = false;
     bool checkpointing = false;
     bool remote = false;
@@ -275,6 +280,8 @@
     const JobRecord* job = nullptr;
     const StepSpec* spec = nullptr;
     std::vector<std::uint32_t> waiting;
+    // How many of these the cap of the customer allows to place now.
+    std::uint32_t allowed = 0;
     std::uint64_t due_ms = 0;
     std::uint64_t objective_ms = 0;
     double work_ms = 0;
@@ -303,6 +310,7 @@
     // By shape, the smallest number of tasks of a step that did not fit in this
     // round.
     std::map<Shape, std::uint32_t> refused;
+    std::set<base::CustomerId> holding_cap_room;
     int reservations = 0;
     // Computed for the first reservation.
     std::optional<std::vector<Allocation>> allocations;
@@ -336,7 +344,7 @@
                       base::Duration input_age = {});
   Worker* FindWorker(const WorkerIncarnation& incarnation);
   const Worker* FindWorker(const WorkerIncarnation& incarnation) const;
-  // Keep `runs_by_worker_` in step with `runs_`.
+  // Keep `runs_by_worker_` and `accounts_` in step with `runs_`.
   void IndexRun(const RunKey& key, const Run& run);
   void UnindexRun(const RunKey& key, const Run& run);
   void SyncWorkers(const Now& now);
@@ -469,8 +477,8 @@
       RackRule rule,
       const std::vector<CandidateWorker>& unreserved) const;
 
-  // dispatcher_placement.cc, dispatcher_reserve.cc, dispatcher_preempt.cc and
-  // dispatcher_admission.cc
+  // dispatcher_placement.cc, dispatcher_reserve.cc, dispatcher_preempt.cc,
+  // dispatcher_caps.cc and dispatcher_admission.cc
   void PlaceRound(const Now& now);
   static Shape ShapeOf(const ReadyStep& ready, RackRule rule);
   // The workers that may get tasks, in order of their incarnations.
@@ -503,6 +511,8 @@
       const StepRef& step) const;
   static Urgency UrgencyOf(const ReadyStep& ready, const Now& now);
   static void SortByUrgency(std::vector<ReadyStep>& ready, const Now& now);
+  std::uint32_t TasksWithinCap(const ReadyStep& ready) const;
+  void LimitByCap(ReadyStep& ready, Round& round, const Now& now) const;
   void PlaceOrPreempt(ReadyStep& ready, Round& round, const Now& now);
   bool PlaceStep(ReadyStep& ready, RackRule rule, Round& round, const Now& now);
   void Commit(const ReadyStep& ready,
@@ -551,6 +561,8 @@
   // Index of `runs_` by worker, since an answer of a worker concerns only its
   // own runs.
   std::map<WorkerIncarnation, RunsOfWorker> runs_by_worker_;
+  CustomerAccounts accounts_;
+  CustomerCaps caps_;
   std::map<TaskRef, std::vector<LostAttempt>> lost_attempts_;
   // Starts whose confirmation is not in the log yet.
   std::vector<RunKey> confirmed_starts_;
--- a/libraries/jobs/dispatcher_explain.cc
+++ b/libraries/jobs/dispatcher_explain.cc
@@ -126,16 +126,21 @@
     if (entry.waiting.empty() ||
         (entry.spec->gang && placed.contains(entry.step)))
       continue;
+    const TaskRef first{.job = entry.step.job,
+                        .occurrence = entry.step.occurrence,
+                        .step = entry.step.step,
+                        .index = entry.waiting.front()};
+    if (entry.allowed == 0) {
+      add(first, entry.due_ms,
+          caps_.WaitReason(entry.job->customer, *entry.spec));
+      continue;
+    }
     const RackRule rule = RackRuleFor(entry, round.workers, now);
     const auto [reason, is_new] = reasons.try_emplace(
         {ShapeOf(entry, rule), claims_.contains(entry.step)});
     if (is_new)
       reason->second = WaitReason(entry, rule, unreserved);
-    add({.job = entry.step.job,
-         .occurrence = entry.step.occurrence,
-         .step = entry.step.step,
-         .index = entry.waiting.front()},
-        entry.due_ms, reason->second);
+    add(first, entry.due_ms, reason->second);
   }
   for (const auto& [task, job] : ready.held)
     add(task, job->DueMs(task.occurrence), "earlier_run_not_ended");
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -198,8 +198,10 @@
       now.instant +
       std::min<base::Duration>(kLongestPause, kPausePerStep * ready.size());
   waiting_tasks_ = 0;
-  for (const ReadyStep& entry : ready)
+  for (ReadyStep& entry : ready) {
     waiting_tasks_ += entry.waiting.size();
+    entry.allowed = TasksWithinCap(entry);
+  }
   if (ready.empty()) {
     ExplainWaiting(found, {}, now);
     return;
@@ -233,6 +235,9 @@
 void Dispatcher::PlaceOrPreempt(ReadyStep& ready,
                                 Round& round,
                                 const Now& now) {
+  LimitByCap(ready, round, now);
+  if (ready.allowed == 0)
+    return;
   const bool urgent = ready.job->policy.priority == 0;
   const RackRule rule = RackRuleFor(ready, round.workers, now);
   if (claims_.contains(ready.step)) {
@@ -265,13 +270,13 @@
 PlanRequest Dispatcher::RequestOf(const ReadyStep& ready) const {
   return {.step = ready.spec,
           .pool = ready.job->pool,
-          .count = static_cast<std::uint32_t>(ready.waiting.size()),
+          .count = ready.allowed,
           .work_ms = ready.work_ms,
           .urgent = ready.job->policy.priority == 0};
 }
 
-// Returns whether all tasks were placed. Unless the step is a gang, placed
-// tasks are removed from `ready.waiting`.
+// Returns whether all tasks that the cap allows were placed. Unless the step is
+// a gang, placed tasks are removed from `ready.waiting`.
 bool Dispatcher::PlaceStep(ReadyStep& ready,
                            RackRule rule,
                            Round& round,
@@ -292,7 +297,8 @@
   ready.waiting.erase(
       ready.waiting.begin(),
       ready.waiting.begin() + static_cast<std::ptrdiff_t>(plan.workers.size()));
-  return ready.waiting.empty();
+  ready.allowed -= static_cast<std::uint32_t>(plan.workers.size());
+  return ready.allowed == 0;
 }
 
 void Dispatcher::Commit(const ReadyStep& ready,
--- a/libraries/jobs/dispatcher_preempt.cc
+++ b/libraries/jobs/dispatcher_preempt.cc
@@ -207,8 +207,11 @@
   if (claims_.empty())
     return;
   std::set<StepRef> waiting;
-  for (const ReadyStep& entry : ready)
-    waiting.insert(entry.step);
+  for (const ReadyStep& entry : ready) {
+    // At its cap, a customer keeps no room from others.
+    if (entry.allowed > 0)
+      waiting.insert(entry.step);
+  }
   std::erase_if(claims_, [&](const auto& entry) {
     const auto& [step, claim] = entry;
     return now.instant > claim.expires_at || !waiting.contains(step) ||
--- a/libraries/jobs/dispatcher_reserve.cc
+++ b/libraries/jobs/dispatcher_reserve.cc
@@ -51,8 +51,8 @@
   urgent_demand_ = static_cast<double>(held);
   for (const ReadyStep& entry : ready) {
     if (entry.job->policy.priority == 0) {
-      urgent_demand_ += static_cast<double>(entry.waiting.size() *
-                                            entry.spec->task.accelerators);
+      urgent_demand_ +=
+          static_cast<double>(entry.allowed * entry.spec->task.accelerators);
     }
   }
   const std::chrono::duration<double, std::milli> passed =
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -47,6 +47,7 @@
   if (job != nullptr && placement.task.step < job->spec.steps.size()) {
     const StepSpec& step = job->spec.steps[placement.task.step];
     run.resources = step.task;
+    run.cap_demand = step.task;
     if (step.fills)
       run.resources.cpu = 0;
     run.gang = step.gang;
@@ -242,6 +243,10 @@
   if (run.phase == RunPhase::kStarting) {
     if (!MayStart(checked, now))
       return "worker_leaving";
+    // The cap was lowered after the placement. The stop of a start that was
+    // not answered also keeps it from being carried out late.
+    if (!run.call_in_flight && caps_.IsExceeded(run.customer, accounts_))
+      return "customer_cap";
     const bool late =
         run.gang && run.first_sent_at &&
         now.instant - *run.first_sent_at > options_.gang_wait * kGangStartShare;
--- a/tests/jobs/dispatch_simulation.h
+++ b/tests/jobs/dispatch_simulation.h
@@ -37,7 +37,8 @@
   void Submit(const std::string& id,
               std::vector<StepSpec> steps,
               std::uint32_t priority = 1,
-              std::uint32_t max_attempts = 3);
+              std::uint32_t max_attempts = 3,
+              const std::string& customer = "c");
   void Apply(const Command& command) { store_.Apply(command); }
   void RunFor(std::uint64_t ms);
   // Another leader takes over; proposals of the old one may be lost.
