Show the caps of customers and refuse jobs that can never fit

Cause: an operator could not see who is at its cap, and a caller whose gang is larger than the cap would have waited for ever.

Change: a job of which a task or a gang needs more than the cap is refused with the need and the cap. The leader publishes what the customers with a cap have running. CheckCustomers() finds limits that contradict each other, such as a guarantee above the cap; a line E3142 names each when its configuration comes into force. The configuration is accepted all the same.

No test runs the refusal over messages.

--- a/libraries/base/event_number.h
+++ b/libraries/base/event_number.h
@@ -108,6 +108,8 @@
     "An operator's configuration was put or refused.")                       \
   X(kDomainServiceSet, 3141, "domain.service_set",                           \
     "A failure domain was taken out of service or back in.")                 \
+  X(kConfigurationDoubtful, 3142, "configuration.doubtful",                  \
+    "A configuration in force contradicts itself.")                          \
   X(kCallFinished, 3150, "call.finished", "A gateway answered a caller.")    \
   X(kDependencyChanged, 3151, "dependency.changed",                          \
     "The schedulers were lost or reached again.")                            \
--- a/services/scheduler/call_service.cc
+++ b/services/scheduler/call_service.cc
@@ -1,10 +1,14 @@
 #include "services/scheduler/call_service.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "jobs/admission.h"
+#include "jobs/configuration_check.h"
+#include "jobs/customer_cap.h"
 
 namespace wigeonstair::scheduler {
 
@@ -12,6 +16,10 @@
 
 constexpr base::Duration kCommitTimeout = std::chrono::milliseconds(2500);
 constexpr base::Duration kBarrierTimeout = std::chrono::milliseconds(800);
+// Contradictions of one configuration that are logged.
+constexpr std::size_t kMaximumFindings = 8;
+// Only a configuration with a higher cap lets the job in.
+constexpr base::Duration kCapRetryAfter = std::chrono::seconds(30);
 
 // How long a deregistration may wait for the stops of the worker's runs. Below
 // the time within which a worker expects an answer.
@@ -30,6 +38,33 @@
   return {.status = jobs::ReplyStatus::kDone};
 }
 
+// Why a job is not accepted now, and after which time the caller may send it
+// again.
+std::optional<jobs::Reply> FindRefusal(const jobs::JobRecord& job,
+                                       const jobs::JobStore& store,
+                                       const jobs::Dispatcher& dispatcher,
+                                       const jobs::Now& now) {
+  const auto refuse = [](base::Duration retry_after, std::string reason) {
+    const auto wait =
+        std::chrono::duration_cast<std::chrono::milliseconds>(retry_after);
+    return jobs::Reply{
+        .status = jobs::ReplyStatus::kRefused,
+        .retry_after_ms = static_cast<std::uint32_t>(wait.count()),
+        .text = std::move(reason)};
+  };
+  const jobs::Customer* customer =
+      store.configuration().FindCustomer(job.customer);
+  if (customer != nullptr) {
+    if (const auto fault = jobs::FindCapFault(customer->cap, job.spec))
+      return refuse(kCapRetryAfter, *fault);
+  }
+  if (const auto retry_after =
+          dispatcher.CheckAdmission(job.policy, job.queue, job, now)) {
+    return refuse(*retry_after, "it would be done too late");
+  }
+  return std::nullopt;
+}
+
 std::uint64_t WallClockMs() {
   return static_cast<std::uint64_t>(base::WallClockNow().count());
 }
@@ -124,14 +159,9 @@
              .policy = target.queue->policy,
              .spec = call.spec,
              .accepted_ms = WallClockMs()};
-      if (const auto retry_after = dispatcher.CheckAdmission(
-              job.policy, job.queue, job, options_.placement->CurrentTime())) {
-        const auto wait =
-            std::chrono::duration_cast<std::chrono::milliseconds>(*retry_after);
-        early_reply = {
-            .status = jobs::ReplyStatus::kRefused,
-            .retry_after_ms = static_cast<std::uint32_t>(wait.count()),
-            .text = "it would be done too late"};
+      early_reply = FindRefusal(job, store, dispatcher,
+                                options_.placement->CurrentTime());
+      if (early_reply) {
         options_.log->Info(base::EventNumber::kJobRefused,
                            {{"request", target.job.value()},
                             {"queue", target.queue->name},
@@ -316,14 +346,27 @@
 void CallService::Execute(const jobs::PutConfigurationCall& call,
                           const ReplyCallback& reply) {
   const std::uint64_t version = call.change.configuration.version;
-  Commit(call.change, reply, [this, version](jobs::CommandReply result) {
-    options_.log->Info(
-        base::EventNumber::kConfigurationPut,
-        {{"version", version},
-         {"outcome",
-          result == jobs::CommandReply::kApplied ? "in_force" : "not_newer"}});
-    return Done();
-  });
+  std::vector<jobs::CustomerFinding> findings =
+      jobs::CheckCustomers(call.change.configuration);
+  findings.resize(std::min(findings.size(), kMaximumFindings));
+  Commit(call.change, reply,
+         [this, version,
+          findings = std::move(findings)](jobs::CommandReply result) {
+           const bool applied = result == jobs::CommandReply::kApplied;
+           options_.log->Info(
+               base::EventNumber::kConfigurationPut,
+               {{"version", version},
+                {"outcome", applied ? "in_force" : "not_newer"}});
+           if (applied) {
+             for (const jobs::CustomerFinding& finding : findings) {
+               options_.log->Warning(base::EventNumber::kConfigurationDoubtful,
+                                     {{"version", version},
+                                      {"customer", finding.customer.value()},
+                                      {"reason", finding.detail}});
+             }
+           }
+           return Done();
+         });
 }
 
 void CallService::Execute(const jobs::ReadConfigurationCall& /*call*/,
--- a/services/scheduler/placement_loop.cc
+++ b/services/scheduler/placement_loop.cc
@@ -35,6 +35,20 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(*duration).count());
 }
 
+// The text as the value of a label of a counter.
+std::string LabelValue(std::string_view text) {
+  std::string value;
+  for (const char c : text) {
+    if (c == '"' || c == '\\')
+      value += '\\';
+    if (c == '\n')
+      value += "\\n";
+    else
+      value += c;
+  }
+  return value;
+}
+
 }  // namespace
 
 PlacementLoop::PlacementLoop(PlacementLoopOptions options)
@@ -199,6 +213,32 @@
   last_publication_ = now.instant;
   PublishReasons("wigeonstair_waiting_steps", dispatcher.waiting_steps());
   PublishReasons("wigeonstair_unused_workers", dispatcher.unused_workers());
+  PublishCustomers(dispatcher);
+}
+
+void PlacementLoop::PublishCustomers(const jobs::Dispatcher& dispatcher) {
+  const auto publish = [this](const std::string& name,
+                              const base::CustomerId& customer,
+                              const jobs::Resources& resources) {
+    const auto set = [&](const char* resource, std::uint64_t amount) {
+      options_.counters
+          ->gauge(name + "{customer=\"" + LabelValue(customer.value()) +
+                  "\",resource=\"" + resource + "\"}")
+          .Set(static_cast<std::int64_t>(amount));
+    };
+    set("millicores", resources.cpu);
+    set("memory_mb", resources.memory_mb);
+    set("accelerators", resources.accelerators);
+  };
+  for (const auto& [customer, cap] : dispatcher.caps().all())
+    published_customers_.insert(customer);
+  for (const base::CustomerId& customer : published_customers_) {
+    const jobs::Resources* cap = dispatcher.caps().Find(customer);
+    publish("wigeonstair_customer_cap", customer,
+            cap == nullptr ? jobs::Resources{} : *cap);
+    publish("wigeonstair_customer_in_use", customer,
+            dispatcher.accounts().InUse(customer));
+  }
 }
 
 void PlacementLoop::PublishReasons(
--- a/services/scheduler/placement_loop.h
+++ b/services/scheduler/placement_loop.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 
 #include "base/counter_registry.h"
 #include "base/event_log.h"
@@ -79,6 +80,8 @@
   // Sets a gauge for each reason, and those of other reasons to zero.
   void PublishReasons(const std::string& name,
                       const std::map<std::string_view, std::size_t>& counts);
+  // What the customers with a cap have running, and their caps.
+  void PublishCustomers(const jobs::Dispatcher& dispatcher);
 
   const PlacementLoopOptions options_;
   consensus::ReplicaRuntime* replica_ = nullptr;
@@ -96,6 +99,7 @@
   RoundLoad load_;
   // By name and reason.
   std::map<std::pair<std::string, std::string>, base::Gauge*> reason_gauges_;
+  std::set<base::CustomerId> published_customers_;
   base::LatencyHistogram& round_latency_;
   base::LatencyHistogram& start_call_latency_;
   base::Counter& starts_;
