Let no row of another writer into the runs, and bound the numbers of ends

The number of an end was compared with earlier numbers only, of which a new leader has none (foreign-end: an end numbered 1,000,000 was acknowledged).

The fuzz target of the lists plays them through the adapter into a dispatcher and a store. A row that names a placed run and lacks the rest is kept as before (counted): dropped, its task would start twice. So the check of "a listed run with unreadable progress is still listed" stays.

The check of a lone far end without an acknowledged number in codec_test now has a worker old enough for it; with a young one the end must be dropped (new).

The fuzz target was not built or run.

--- a/fuzz/write_corpus.cc
+++ b/fuzz/write_corpus.cc
@@ -367,6 +367,13 @@
   corpus.Add("platform_json", "lists", 3,
              R"({"born":5,"ClockMs":9,"Running":[["5c.0.1.17",2,"00ab",41]],)"
              R"("Finished":[[58,"5c.0.1.9",1,"done",""]]})");
+  corpus.Add("platform_json", "foreign_run", 3,
+             R"({"born":5,"ClockMs":9000,"Running":[["5c.0.1.17",2,"00ab",41],)"
+             R"(["5c.0.4000000000.0",1]],"Finished":[]})");
+  corpus.Add("platform_json", "foreign_end", 3,
+             R"({"born":5,"ClockMs":9000,"Running":[["5c.0.1.17",2,"",41]],)"
+             R"("Finished":[[58,"5c.0.1.9",2,"done",""],)"
+             R"([1000000,"ff.0.0.0",1,"done",""]]})");
   corpus.Add("platform_json", "refusal", 4, R"({"ClockMs":1,"Reason":"room"})");
   corpus.Add("platform_json", "settings", 5,
              R"({"NodeName":"n","Ip":"10.1.0.2","Zone":"z","ListenAddrs":{},)"
--- a/libraries/jobs/dispatcher.cc
+++ b/libraries/jobs/dispatcher.cc
@@ -194,15 +194,16 @@
                                            .index = index},
                                   .attempt = task.attempt,
                                   .worker = task.worker};
-        AddRun(placement, now);
-        Run& run = runs_.at({placement.task, placement.attempt});
-        run.phase = RunPhase::kRunning;
-        run.starts = placements.StartsOf({placement.task, placement.attempt},
-                                         now.instant);
-        run.settled_at = now.instant;
-        if (!workers_.contains(run.worker.id))
-          removed_workers_[run.worker] = {.lease_bound =
-                                              LongestLeaseBound(now)};
+        Run* run = AddRun(placement, now);
+        if (run == nullptr)
+          continue;
+        run->phase = RunPhase::kRunning;
+        run->starts = placements.StartsOf({placement.task, placement.attempt},
+                                          now.instant);
+        run->settled_at = now.instant;
+        if (!workers_.contains(run->worker.id))
+          removed_workers_[run->worker] = {.lease_bound =
+                                               LongestLeaseBound(now)};
       }
     }
   }
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -89,6 +89,9 @@
 
   std::vector<Action> TakeActions();
   std::vector<Decision> TakeDecisions();
+  // The number of rows in lists of workers that no sound worker lists, since
+  // the last call.
+  std::size_t TakeForeignRows() { return std::exchange(foreign_rows_, 0); }
 
   // Returns empty when a job submitted now is admitted. When it would end only
   // after its value has dropped to zero, returns the time after which the
@@ -168,7 +171,7 @@
   struct CheckedRun {
     const RunKey& key;
     Run& run;
-    // Null when not known.
+    // Null when no known job has the task.
     const JobRecord* job = nullptr;
     // Null when the incarnation is not the recorded one.
     Worker* worker = nullptr;
@@ -362,7 +365,9 @@
                                           RunPhase phase,
                                           const CallAnswer& answer,
                                           const Now& now);
-  void AddRun(const Placement& placement, const Now& now);
+  // The only way into `runs_`. Returns null, and adds nothing, when the task
+  // does not exist.
+  Run* AddRun(const Placement& placement, const Now& now);
   void EraseRun(std::map<RunKey, Run>::iterator run);
   // The incarnation that followed the one of a run under the same id; null when
   // none is known. Its `born` is lower when the clock of its host was set back.
@@ -438,11 +443,21 @@
   void SendDueHolds(const Now& now);
   bool HasStartedRuns(const WorkerIncarnation& worker) const;
   void SendHold(Worker& worker, std::uint32_t wait_ms, const Now& now);
+  // The lists without the rows that no sound worker lists. What was removed is
+  // added to `malformed_rows`: such a row may be the damaged one of a run.
+  HoldAnswer::Lists RemoveForeignRows(const Worker& worker,
+                                      const HoldAnswer::Lists& lists,
+                                      const Now& now);
+  // Whether the attempt was placed, or is watched for another reason.
+  bool Exists(const RunKey& run) const;
+  // Stops a run of a job that is not known any more, which nothing else ends.
+  void StopUnknownRun(const Worker& worker, const RunKey& run);
   void ProcessEnds(Worker& worker,
                    const HoldAnswer::Lists& lists,
                    const Now& now);
   // Adds a run that a worker lists but that the dispatcher does not expect.
-  Run& AddUnexpectedRun(const RunKey& key,
+  // Returns null when the task does not exist.
+  Run* AddUnexpectedRun(const RunKey& key,
                         const WorkerIncarnation& worker,
                         const Now& now);
   void ReconcileRuns(Worker& worker,
@@ -552,6 +567,7 @@
   // own runs.
   std::map<WorkerIncarnation, RunsOfWorker> runs_by_worker_;
   std::map<TaskRef, std::vector<LostAttempt>> lost_attempts_;
+  std::size_t foreign_rows_ = 0;
   // Starts whose confirmation is not in the log yet.
   std::vector<RunKey> confirmed_starts_;
   bool placed_since_confirmation_ = false;
--- a/libraries/jobs/dispatcher_admission.cc
+++ b/libraries/jobs/dispatcher_admission.cc
@@ -46,7 +46,7 @@
   constexpr double kMinimumRemainingMs = 200;
   if (run.phase == RunPhase::kStopping || run.phase == RunPhase::kEnding)
     return kMinimumRemainingMs;
-  const JobRecord* job = store_.FindJob(key.task.job);
+  const JobRecord* job = store_.FindJobOf(key.task);
   if (job == nullptr)
     return kMinimumRemainingMs;
   const double whole = ExpectedTaskMs(*job, key.task.step) *
--- a/libraries/jobs/dispatcher_health.cc
+++ b/libraries/jobs/dispatcher_health.cc
@@ -78,7 +78,7 @@
 }
 
 base::Duration Dispatcher::SampleInterval(const RunKey& key) const {
-  const JobRecord* job = store_.FindJob(key.task.job);
+  const JobRecord* job = store_.FindJobOf(key.task);
   if (job == nullptr)
     return kSampleInterval;
   const auto expected = std::chrono::duration_cast<base::Duration>(
--- a/libraries/jobs/dispatcher_lists.cc
+++ b/libraries/jobs/dispatcher_lists.cc
@@ -17,6 +17,11 @@
 constexpr base::Duration kIdleCheckInterval = std::chrono::milliseconds(50);
 // Delay before the next hold after an unusable answer or none.
 constexpr base::Duration kHoldRetryDelay = std::chrono::milliseconds(400);
+// Delay before the next hold after an answer with rows that were skipped. A
+// worker lists an end until it is acknowledged, and then answers at once.
+constexpr base::Duration kForeignRowsDelay = std::chrono::milliseconds(100);
+// Number of runs of unknown jobs that are stopped after one answer.
+constexpr int kMaximumUnknownStops = 8;
 // A worker without any heartbeat or answer for this time is removed.
 constexpr base::Duration kWorkerExpiry = std::chrono::seconds(45);
 // Delay before a removal that did not take effect is proposed again. Longer
@@ -138,25 +143,86 @@
   RecordAnswer(*worker, now);
   worker->listed_in_term = true;
   EndRemovedWorkersAt(worker->description.address);
-  worker->next_hold_at = now.instant;
   worker->confirmed_end =
       std::max(worker->confirmed_end, answer.acknowledged_end);
-  ReconcileRuns(*worker, sent_at, *answer.lists, now);
-  ProcessEnds(*worker, *answer.lists, now);
+  const HoldAnswer::Lists lists =
+      RemoveForeignRows(*worker, *answer.lists, now);
+  worker->next_hold_at =
+      now.instant +
+      (lists.malformed_rows > 0 ? kForeignRowsDelay : base::Duration{});
+  ReconcileRuns(*worker, sent_at, lists, now);
+  ProcessEnds(*worker, lists, now);
+}
+
+bool Dispatcher::Exists(const RunKey& run) const {
+  return runs_.contains(run) || store_.WasPlaced(run);
+}
+
+HoldAnswer::Lists Dispatcher::RemoveForeignRows(const Worker& worker,
+                                                const HoldAnswer::Lists& lists,
+                                                const Now& now) {
+  HoldAnswer::Lists sound = lists;
+  std::vector<RunKey> foreign;
+  std::erase_if(sound.running, [&](const ListedRun& entry) {
+    if (Exists(entry.run))
+      return false;
+    foreign.push_back(entry.run);
+    return true;
+  });
+  int stops = 0;
+  for (const RunKey& run : foreign) {
+    if (store_.FindJob(run.task.job) == nullptr &&
+        ++stops <= kMaximumUnknownStops) {
+      StopUnknownRun(worker, run);
+    }
+  }
+  std::set<RunKey> running;
+  if (!sound.ended.empty()) {
+    for (const ListedRun& entry : sound.running)
+      running.insert(entry.run);
+  }
+  // An end that is acknowledged hides all with lower numbers, so it must be one
+  // of the worker's own: a run is not listed as active and as ended.
+  std::erase_if(sound.ended, [&](const ListedEnd& end) {
+    if (end.number <= worker.acknowledged_end ||
+        (Exists(end.run) && !running.contains(end.run))) {
+      return false;
+    }
+    foreign.push_back(end.run);
+    return true;
+  });
+  if (!foreign.empty()) {
+    sound.malformed_rows += foreign.size();
+    foreign_rows_ += foreign.size();
+    RecordDecision("foreign_rows", foreign.front(),
+                   worker.description.incarnation,
+                   std::to_string(foreign.size()), now);
+  }
+  return sound;
+}
+
+void Dispatcher::StopUnknownRun(const Worker& worker, const RunKey& run) {
+  actions_.emplace_back(StopAction{.run = run,
+                                   .worker = worker.description.incarnation,
+                                   .address = worker.description.address,
+                                   .term = term_,
+                                   .fencing_token = worker.fencing_token});
 }
 
 // The next check stops the run.
-Dispatcher::Run& Dispatcher::AddUnexpectedRun(const RunKey& key,
+Dispatcher::Run* Dispatcher::AddUnexpectedRun(const RunKey& key,
                                               const WorkerIncarnation& worker,
                                               const Now& now) {
   const TaskProgress* task = store_.FindTask(key.task);
   const bool elsewhere = task != nullptr && task->phase == TaskPhase::kPlaced;
-  AddRun({.task = key.task, .attempt = key.attempt, .worker = worker}, now);
-  Run& run = runs_.at(key);
-  run.starts.sent = 1;
-  run.starts.last_sent_at = now.instant;
-  run.starts.has_unknown = true;
-  run.phase = RunPhase::kRunning;
+  Run* run =
+      AddRun({.task = key.task, .attempt = key.attempt, .worker = worker}, now);
+  if (run == nullptr)
+    return nullptr;
+  run->starts.sent = 1;
+  run->starts.last_sent_at = now.instant;
+  run->starts.has_unknown = true;
+  run->phase = RunPhase::kRunning;
   RecordDecision("found", key, worker,
                  elsewhere ? "placed_as " + std::to_string(task->attempt) +
                                  " on " + task->worker.id.value()
@@ -173,12 +239,13 @@
   for (const ListedRun& entry : lists.running) {
     listed.insert(entry.run);
     const auto found = runs_.find(entry.run);
-    Run& run =
+    Run* known =
         found == runs_.end()
             ? AddUnexpectedRun(entry.run, worker.description.incarnation, now)
-            : found->second;
-    if (run.worker != worker.description.incarnation)
+            : &found->second;
+    if (known == nullptr || known->worker != worker.description.incarnation)
       continue;
+    Run& run = *known;
     if (!std::exchange(run.starts.confirmed, true))
       NoteConfirmedStart(entry.run, run);
     if (run.phase == RunPhase::kStarting) {
@@ -265,7 +332,7 @@
     return;
   worker.failures = 0;
   const auto found = runs_.find(end.run);
-  const JobRecord* job = store_.FindJob(end.run.task.job);
+  const JobRecord* job = store_.FindJobOf(end.run.task);
   if (found == runs_.end() || job == nullptr || !found->second.running_since ||
       found->second.remote || found->second.starts.sent != 1) {
     return;
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -318,10 +318,11 @@
                                        .index = index},
                               .attempt = last + 1,
                               .worker = candidate.incarnation};
-    AddRun(placement, now);
-    Run& run = runs_.at({placement.task, placement.attempt});
-    run.remote = plan.remote;
-    candidate.free -= run.resources;
+    Run* run = AddRun(placement, now);
+    if (run == nullptr)
+      continue;
+    run->remote = plan.remote;
+    candidate.free -= run->resources;
     round.placements.push_back(placement);
   }
 }
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -41,20 +41,22 @@
 
 }  // namespace
 
-void Dispatcher::AddRun(const Placement& placement, const Now& now) {
-  const JobRecord* job = store_.FindJob(placement.task.job);
-  Run run{.worker = placement.worker, .placed_at = now.instant};
-  if (job != nullptr && placement.task.step < job->spec.steps.size()) {
-    const StepSpec& step = job->spec.steps[placement.task.step];
-    run.resources = step.task;
-    if (step.fills)
-      run.resources.cpu = 0;
-    run.gang = step.gang;
-    run.checkpointing = step.checkpointing;
-    run.priority = job->policy.priority;
-    run.customer = job->customer;
-    run.queue = job->queue;
-  }
+Dispatcher::Run* Dispatcher::AddRun(const Placement& placement,
+                                    const Now& now) {
+  const JobRecord* job = store_.FindJobOf(placement.task);
+  if (job == nullptr)
+    return nullptr;
+  const StepSpec& step = job->spec.steps[placement.task.step];
+  Run run{.worker = placement.worker,
+          .resources = step.task,
+          .gang = step.gang,
+          .checkpointing = step.checkpointing,
+          .priority = job->policy.priority,
+          .customer = job->customer,
+          .queue = job->queue,
+          .placed_at = now.instant};
+  if (step.fills)
+    run.resources.cpu = 0;
   run.progress_at = now.instant;
   run.next_call_at = now.instant;
   const RunKey key{.task = placement.task, .attempt = placement.attempt};
@@ -62,6 +64,7 @@
     EraseRun(old);
   const auto added = runs_.emplace(key, std::move(run)).first;
   IndexRun(key, added->second);
+  return &added->second;
 }
 
 void Dispatcher::EraseRun(std::map<RunKey, Run>::iterator run) {
@@ -150,11 +153,12 @@
       fastest = sweeps && !run.gang ? FastestOfStep(key) : kUnknown;
     }
     last = &task;
-    CheckedRun checked{.key = key,
-                       .run = run,
-                       .job = job,
-                       .worker = FindWorker(run.worker),
-                       .fastest = fastest};
+    CheckedRun checked{
+        .key = key,
+        .run = run,
+        .job = job != nullptr && job->HasTask(task) ? job : nullptr,
+        .worker = FindWorker(run.worker),
+        .fastest = fastest};
     const bool recorded = checked.worker != nullptr;
     if (!recorded || run.starts.sent > 0) {
       const auto proof = ProveAbsence(run.starts, StateOfWorker(checked),
@@ -310,9 +314,9 @@
 
 // All members of a gang must start from the same checkpoint.
 std::string Dispatcher::GangCheckpoint(const TaskRef& task) const {
-  const JobRecord* job = store_.FindJob(task.job);
+  const JobRecord* job = store_.FindJobOf(task);
   const std::vector<TaskProgress>* tasks =
-      job->FindProgress(task.occurrence, task.step);
+      job == nullptr ? nullptr : job->FindProgress(task.occurrence, task.step);
   if (tasks == nullptr)
     return {};
   if (!job->spec.steps[task.step].gang)
--- a/libraries/jobs/job_record.h
+++ b/libraries/jobs/job_record.h
@@ -72,6 +72,12 @@
     return state == JobState::kCompleted || state == JobState::kFailed ||
            state == JobState::kCancelled;
   }
+  // Whether the specification has this task.
+  bool HasTask(const TaskRef& task) const {
+    return task.job == id && task.step < spec.steps.size() &&
+           task.occurrence < spec.occurrences() &&
+           task.index < spec.steps[task.step].count;
+  }
   // Returns null before the first placement of the step.
   const std::vector<TaskProgress>* FindProgress(std::uint32_t occurrence,
                                                 std::uint32_t step) const {
--- a/libraries/jobs/job_store.cc
+++ b/libraries/jobs/job_store.cc
@@ -28,6 +28,18 @@
   return true;
 }
 
+// Whether the progress of the job has only tasks of its steps. A snapshot comes
+// from a peer.
+bool IsConsistent(const JobRecord& job) {
+  return std::all_of(
+      job.progress.begin(), job.progress.end(), [&](const auto& item) {
+        const auto& [occurrence, step] = item.first;
+        return job.HasTask(
+                   {.job = job.id, .occurrence = occurrence, .step = step}) &&
+               item.second.size() == job.spec.steps[step].count;
+      });
+}
+
 // What a snapshot holds; refers to the parts.
 template <typename Store>
 struct SnapshotContent {
@@ -62,8 +74,18 @@
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
-const TaskProgress* JobStore::FindTask(const TaskRef& task) const {
+const JobRecord* JobStore::FindJobOf(const TaskRef& task) const {
   const JobRecord* job = FindJob(task.job);
+  return job != nullptr && job->HasTask(task) ? job : nullptr;
+}
+
+bool JobStore::WasPlaced(const RunKey& run) const {
+  const TaskProgress* task = FindTask(run.task);
+  return task != nullptr && run.attempt > 0 && run.attempt <= task->attempt;
+}
+
+const TaskProgress* JobStore::FindTask(const TaskRef& task) const {
+  const JobRecord* job = FindJobOf(task);
   if (job == nullptr)
     return nullptr;
   const std::vector<TaskProgress>* tasks =
@@ -97,7 +119,7 @@
 }
 
 CommandReply JobStore::Execute(const SubmitJob& command) {
-  if (ValidateJobSpec(command.job.spec))
+  if (ValidateJobSpec(command.job.spec) || !IsConsistent(command.job))
     return CommandReply::kConflict;
   const auto [found, inserted] = jobs_.try_emplace(command.job.id, command.job);
   if (inserted) {
@@ -138,11 +160,7 @@
   if (found == jobs_.end())
     return;
   JobRecord& job = found->second;
-  const bool exists =
-      placement.task.step < job.spec.steps.size() &&
-      placement.task.occurrence < job.spec.occurrences() &&
-      placement.task.index < job.spec.steps[placement.task.step].count;
-  if (!exists)
+  if (!job.HasTask(placement.task))
     return;
   std::vector<TaskProgress>& tasks =
       job.progress[{placement.task.occurrence, placement.task.step}];
@@ -169,8 +187,10 @@
 
 void JobStore::End(const TaskEnd& end, std::uint64_t now_ms) {
   const auto found = jobs_.find(end.task.job);
-  if (found == jobs_.end() || found->second.ended())
+  if (found == jobs_.end() || found->second.ended() ||
+      !found->second.HasTask(end.task)) {
     return;
+  }
   JobRecord& job = found->second;
   const auto tasks = job.progress.find({end.task.occurrence, end.task.step});
   if (tasks == job.progress.end() || end.task.index >= tasks->second.size())
@@ -281,6 +301,21 @@
   return net::Encode(SnapshotContent<const JobStore>{*this, deregistered_});
 }
 
+base::Result<std::monostate> JobStore::CheckJobs() const {
+  for (const auto& [id, job] : jobs_) {
+    if (job.id != id || !IsConsistent(job))
+      return base::Fail(
+          base::ErrorCode::kCorruptData, "restore the jobs", {},
+          "job " + id.value() + " has progress of tasks that it does not have");
+  }
+  for (const base::JobId& id : open_jobs_) {
+    if (!jobs_.contains(id))
+      return base::Fail(base::ErrorCode::kCorruptData, "restore the jobs", {},
+                        "the open job " + id.value() + " is missing");
+  }
+  return std::monostate{};
+}
+
 base::Result<std::monostate> JobStore::Restore(std::string_view snapshot) {
   JobStore restored;
   // Snapshots of versions before DeregisterWorker hold the store only.
@@ -290,6 +325,7 @@
   });
   if (std::holds_alternative<base::Error>(complete))
     restored = TRY(net::Decode<JobStore>(snapshot));
+  TRY(restored.CheckJobs());
   restored.worker_revision_ = worker_revision_ + 1;
   *this = std::move(restored);
   return std::monostate{};
--- a/libraries/jobs/job_store.h
+++ b/libraries/jobs/job_store.h
@@ -29,6 +29,12 @@
   // Jobs that have not ended.
   const std::set<base::JobId>& open_jobs() const { return open_jobs_; }
   const JobRecord* FindJob(const base::JobId& id) const;
+  // The job that has the task; null when there is none. Whoever was given a
+  // task by another process finds its step and its progress only through this
+  // or FindTask.
+  const JobRecord* FindJobOf(const TaskRef& task) const;
+  // Whether this attempt to run a task was placed at any time.
+  bool WasPlaced(const RunKey& run) const;
   // Null when the job or its placement is not known.
   const TaskProgress* FindTask(const TaskRef& task) const;
   const std::map<base::WorkerId, WorkerDescription>& workers() const {
@@ -71,6 +77,8 @@
   CommandReply Execute(const DeregisterWorker& command);
   CommandReply Execute(const ConfirmStarts& command);
 
+  // Fails with kCorruptData when the jobs refer to what does not exist.
+  base::Result<std::monostate> CheckJobs() const;
   void Place(const Placement& placement);
   void End(const TaskEnd& end, std::uint64_t now_ms);
   void EndGang(JobRecord& job, const TaskEnd& end);
--- a/services/scheduler/placement_loop.cc
+++ b/services/scheduler/placement_loop.cc
@@ -49,6 +49,10 @@
           options_.counters->counter("wigeonstair_starts_refused_total")),
       unexpected_runs_(
           options_.counters->counter("wigeonstair_unexpected_runs_total")),
+      unreadable_rows_(
+          options_.counters->counter("wigeonstair_unreadable_rows_total")),
+      foreign_rows_(
+          options_.counters->counter("wigeonstair_foreign_rows_total")),
       waiting_tasks_(options_.counters->gauge("wigeonstair_waiting_tasks")),
       runs_(options_.counters->gauge("wigeonstair_runs")) {}
 
@@ -159,6 +163,7 @@
     decisions = dispatcher.TakeDecisions();
     waiting_tasks_.Set(static_cast<std::int64_t>(dispatcher.waiting_tasks()));
     runs_.Set(static_cast<std::int64_t>(dispatcher.run_count()));
+    foreign_rows_.Add(dispatcher.TakeForeignRows());
     if (now.instant - last_publication_ > kPublicationInterval)
       PublishLoad(dispatcher, now);
   });
@@ -262,6 +267,7 @@
   const auto done = [this, action, sent_at](jobs::HoldAnswer answer) {
     options_.loop->Post([this, action, sent_at, answer = std::move(answer)] {
       if (answer.lists && answer.lists->malformed_rows > 0) {
+        unreadable_rows_.Add(answer.lists->malformed_rows);
         options_.log->Warning(base::EventNumber::kWorkerRowsUnreadable,
                               {{"worker", action.worker.id.value()},
                                {"rows", answer.lists->malformed_rows}});
--- a/services/scheduler/placement_loop.h
+++ b/services/scheduler/placement_loop.h
@@ -101,6 +101,8 @@
   base::Counter& starts_;
   base::Counter& refused_starts_;
   base::Counter& unexpected_runs_;
+  base::Counter& unreadable_rows_;
+  base::Counter& foreign_rows_;
   base::Gauge& waiting_tasks_;
   base::Gauge& runs_;
 };
--- a/tests/jobs/fake_fleet.cc
+++ b/tests/jobs/fake_fleet.cc
@@ -177,10 +177,13 @@
   worker->reached |= call.worker == worker->description.incarnation;
   if (call.lease_until_ms)
     ExtendLease(*worker, *call.lease_until_ms);
-  std::erase_if(worker->ended, [&](const ListedEnd& end) {
-    return end.number <= call.acknowledged_end;
-  });
-  if (worker->ended.empty() && now_ms_ < sent_ms + call.wait_ms)
+  for (auto* ends : {&worker->ended, &worker->foreign_ends}) {
+    std::erase_if(*ends, [&](const ListedEnd& end) {
+      return end.number <= call.acknowledged_end;
+    });
+  }
+  if (worker->ended.empty() && worker->foreign_ends.empty() &&
+      now_ms_ < sent_ms + call.wait_ms)
     return std::nullopt;
   HoldAnswer answer{
       .lists = HoldAnswer::Lists{
@@ -194,6 +197,9 @@
     answer.lists->malformed_rows = std::exchange(ended, {}).size();
   if (worker->malformed_runs)
     answer.lists->malformed_rows += worker->runs.size();
+  ended.insert(ended.end(), worker->foreign_ends.begin(),
+               worker->foreign_ends.end());
+  answer.lists->running = worker->foreign_runs;
   for (const auto& [key, run] : worker->runs) {
     if (worker->malformed_runs)
       break;
--- a/tests/jobs/fake_fleet.h
+++ b/tests/jobs/fake_fleet.h
@@ -67,6 +67,10 @@
     // The rows of its ends, or of its runs, cannot be decoded.
     bool malformed_ends = false;
     bool malformed_runs = false;
+    // Rows of another writer in its lists; the ends until they are
+    // acknowledged.
+    std::vector<ListedRun> foreign_runs;
+    std::vector<ListedEnd> foreign_ends;
     // Its tasks make no progress.
     bool hangs = false;
     double speed = 1;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -39,10 +39,12 @@
 constexpr std::uint64_t kNowMs = 1'700'000'100'000;
 
 net::HttpResponse ListsOf(const std::string& running,
-                          const std::string& finished) {
+                          const std::string& finished,
+                          std::uint64_t clock_ms = 9) {
   return {.status = 200,
-          .body = R"({"born":5,"ClockMs":9,"Running":[)" + running +
-                  R"(],"Finished":[)" + finished + "]}"};
+          .body = R"({"born":5,"ClockMs":)" + std::to_string(clock_ms) +
+                  R"(,"Running":[)" + running + R"(],"Finished":[)" + finished +
+                  "]}"};
 }
 
 }  // namespace
@@ -102,12 +104,17 @@
     CHECK(answer.lists->malformed_rows == 1);
   }
   // Alone in its list, it is compared with the ends that were acknowledged.
-  const net::HttpResponse alone =
-      ListsOf("", R"([1000000,"5c0e7a21d94b36f8.0.1.7",1,"done",""])");
+  const std::string row = R"([1000000,"5c0e7a21d94b36f8.0.1.7",1,"done",""])";
+  constexpr std::uint64_t kOldWorkerMs = 1'000'000;
+  const net::HttpResponse alone = ListsOf("", row, kOldWorkerMs);
   CHECK(DecodeHoldAnswer(alone, 57).lists->ended.empty());
   // A new leader does not know the numbers of its predecessor.
   CHECK(DecodeHoldAnswer(alone, 0).lists->ended.size() == 1);
   CHECK(DecodeHoldAnswer(alone, 999'000).lists->ended.size() == 1);
+  // No worker has ended that many runs in the 20 s of its life.
+  const auto young = DecodeHoldAnswer(ListsOf("", row, 20'000), 0);
+  CHECK(young.lists->ended.empty());
+  CHECK(young.lists->malformed_rows == 1);
 }
 
 TEST_CASE("a step index above 32 bits is not taken for an earlier step") {
