--- a/libraries/jobs/job_store.cc
+++ b/libraries/jobs/job_store.cc
@@ -18,6 +18,14 @@
     failed.push_back(attempt);
 }
 
+// What the end of a run means for its task. A task that lasts is never done: it
+// starts again however it ends.
+RunOutcome OutcomeFor(const StepSpec& step, RunOutcome outcome) {
+  return step.long_running && outcome == RunOutcome::kDone
+             ? RunOutcome::kReturned
+             : outcome;
+}
+
 bool AllStepsDone(const JobRecord& job) {
   for (std::uint32_t k = 0; k < job.spec.occurrences(); ++k) {
     for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
@@ -185,7 +193,8 @@
   return CommandReply::kApplied;
 }
 
-void JobStore::End(const TaskEnd& end, std::uint64_t now_ms) {
+void JobStore::End(const TaskEnd& listed, std::uint64_t now_ms) {
+  TaskEnd end = listed;
   const auto found = jobs_.find(end.task.job);
   if (found == jobs_.end() || found->second.ended() ||
       !found->second.HasTask(end.task)) {
@@ -197,9 +206,10 @@
     return;
   TaskProgress& task = tasks->second[end.task.index];
   const StepSpec& step = job.spec.steps[end.task.step];
+  end.outcome = OutcomeFor(step, end.outcome);
   if (step.gang)
     EndGang(job, end);
-  EndSingle(step, task, end);
+  EndSingle(task, end);
   const bool exhausted = !step.long_running &&
                          task.failed_attempts.size() >= job.policy.max_attempts;
   if (exhausted && task.phase != TaskPhase::kDone)
@@ -222,14 +232,12 @@
   }
 }
 
-void JobStore::EndSingle(const StepSpec& step,
-                         TaskProgress& task,
-                         const TaskEnd& end) {
+void JobStore::EndSingle(TaskProgress& task, const TaskEnd& end) {
   if (task.phase == TaskPhase::kDone)
     return;
   if (end.outcome == RunOutcome::kFailed)
     AddFailure(task.failed_attempts, end.attempt);
-  if (end.outcome == RunOutcome::kDone && !step.long_running) {
+  if (end.outcome == RunOutcome::kDone) {
     task.phase = TaskPhase::kDone;
     return;
   }
--- a/libraries/jobs/job_store.h
+++ b/libraries/jobs/job_store.h
@@ -80,9 +80,10 @@
   // Fails with kCorruptData when the jobs refer to what does not exist.
   base::Result<std::monostate> CheckJobs() const;
   void Place(const Placement& placement);
-  void End(const TaskEnd& end, std::uint64_t now_ms);
-  void EndGang(JobRecord& job, const TaskEnd& end);
-  void EndSingle(const StepSpec& step, TaskProgress& task, const TaskEnd& end);
+  void End(const TaskEnd& listed, std::uint64_t now_ms);
+  // `end` has the outcome of OutcomeFor.
+  static void EndGang(JobRecord& job, const TaskEnd& end);
+  static void EndSingle(TaskProgress& task, const TaskEnd& end);
   void Close(JobRecord& job, JobState state, std::uint64_t now_ms);
 
   // The highest term of a leader so far.
--- a/tests/jobs/gang_test.cc
+++ b/tests/jobs/gang_test.cc
@@ -18,6 +18,19 @@
   CHECK(simulation.StateOf("a") == JobState::kCompleted);
 }
 
+// Guards against a lasting gang that is not restarted when its tasks end as
+// done (LOST, review/5).
+TEST_CASE("a lasting gang whose tasks end as done starts again") {
+  DispatchSimulation simulation({});
+  StepSpec gang = Gang(2, 1, 1000);
+  gang.long_running = true;
+  simulation.Submit("a", {gang});
+  simulation.RunFor(8000);
+  CHECK(simulation.StateOf("a") == JobState::kRunning);
+  CHECK(simulation.fleet().starts() >= 8);
+  CHECK(simulation.fleet().violations().empty());
+}
+
 TEST_CASE("no member of a gang starts after the gang is known to be done") {
   DispatchSimulation simulation({.workers = 2, .workers_per_rack = 1});
   simulation.RunFor(100);
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -120,6 +120,32 @@
   }
 }
 
+// Guards against a lasting gang that is shown as completed and never runs again
+// (review/5): the end of a gang and that of a single task were judged by
+// different rules.
+TEST_CASE("a task that lasts is waiting again however it ends") {
+  for (const bool gang : {false, true}) {
+    for (const RunOutcome outcome :
+         {RunOutcome::kDone, RunOutcome::kFailed, RunOutcome::kReturned}) {
+      JobStore store;
+      store.Apply(SubmitJob{
+          .job = Job("a", {{.count = 2, .gang = gang, .long_running = true}})});
+      store.Apply(TakeOver{.term = 1});
+      for (std::uint32_t attempt = 1; attempt <= 4; ++attempt) {
+        for (const std::uint32_t index : {0u, 1u})
+          store.Apply(Place(1, Task("a", index), attempt));
+        for (const std::uint32_t index : {0u, 1u})
+          store.Apply(End(1, Task("a", index), attempt, outcome, "point"));
+        for (const std::uint32_t index : {0u, 1u}) {
+          CHECK(store.FindTask(Task("a", index))->phase == TaskPhase::kWaiting);
+          CHECK(store.FindTask(Task("a", index))->checkpoint == "point");
+        }
+      }
+      CHECK(store.FindJob(base::JobId("a"))->state == JobState::kRunning);
+    }
+  }
+}
+
 // A task can complete before its lease expires and be listed only after it was
 // returned and started again. The completed attempt still counts.
 TEST_CASE("a late end of an earlier attempt counts as done") {
