Show a job only to the queue and the customer that it came by

Cause: VisibleJob asked whether the caller may use the queue of the call, not whether the job is of that queue. Below a public route any job could be read and cancelled by its id, and a POST under an id of somebody else's job with the same steps was answered as accepted.

Change: Owns compares queue and customer; GET, DELETE and POST use it, and so does the store where two calls meet.

--- a/libraries/jobs/admission.cc
+++ b/libraries/jobs/admission.cc
@@ -86,11 +86,13 @@
   return std::nullopt;
 }
 
+bool Owns(const AdmittedCall& call, const JobRecord& job) {
+  return job.queue == call.queue->name && job.customer == call.customer;
+}
+
 const JobRecord* VisibleJob(const JobStore& store, const AdmittedCall& call) {
   const JobRecord* job = store.FindJob(call.job);
-  const bool visible = job != nullptr && (call.queue->open_to_all ||
-                                          job->customer == call.customer);
-  return visible ? job : nullptr;
+  return job != nullptr && Owns(call, *job) ? job : nullptr;
 }
 
 }  // namespace wigeonstair::jobs
--- a/libraries/jobs/admission.h
+++ b/libraries/jobs/admission.h
@@ -34,8 +34,13 @@
 std::optional<std::string> ValidateWorker(const JobStore& store,
                                           const WorkerDescription& worker);
 
-// Returns the job of an admitted call, or null when it does not exist or
-// belongs to another customer.
+// Whether the job came by the queue and the customer of the call; without a key
+// the customer is empty on both sides. Only then the call may read it, cancel
+// it or take it for its own.
+bool Owns(const AdmittedCall& call, const JobRecord& job);
+
+// Returns the job of an admitted call, or null when it does not exist or came
+// by another queue or customer.
 const JobRecord* VisibleJob(const JobStore& store, const AdmittedCall& call);
 
 }  // namespace wigeonstair::jobs
--- a/libraries/jobs/job_store.cc
+++ b/libraries/jobs/job_store.cc
@@ -134,8 +134,11 @@
     open_jobs_.insert(command.job.id);
     return CommandReply::kApplied;
   }
-  return found->second.spec == command.job.spec ? CommandReply::kNoChange
-                                                : CommandReply::kConflict;
+  const JobRecord& known = found->second;
+  const bool same = known.spec == command.job.spec &&
+                    known.queue == command.job.queue &&
+                    known.customer == command.job.customer;
+  return same ? CommandReply::kNoChange : CommandReply::kConflict;
 }
 
 CommandReply JobStore::Execute(const CancelJob& command) {
--- a/services/scheduler/call_service.cc
+++ b/services/scheduler/call_service.cc
@@ -112,7 +112,8 @@
         return;
       }
       if (const jobs::JobRecord* known = store.FindJob(target.job)) {
-        early_reply = {.status = known->spec == call.spec
+        early_reply = {.status = jobs::Owns(target, *known) &&
+                                         known->spec == call.spec
                                      ? jobs::ReplyStatus::kDone
                                      : jobs::ReplyStatus::kConflict};
         return;
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -224,6 +224,76 @@
   CHECK(std::get<AdmittedCall>(deep).queue->name == "deep");
 }
 
+// Guards against a caller that reads, cancels or takes for its own the job of
+// another one: below a route that needs no key, any id was served.
+TEST_CASE("a job is visible only by the queue and customer that it came by") {
+  const Configuration configuration{
+      .version = 1,
+      .queues = {{.name = "q", .host = "h", .path_prefix = "/q/"},
+                 {.name = "r", .host = "h", .path_prefix = "/r/"},
+                 {.name = "open",
+                  .host = "h",
+                  .path_prefix = "/o/",
+                  .open_to_all = true},
+                 {.name = "other",
+                  .host = "h",
+                  .path_prefix = "/p/",
+                  .open_to_all = true}},
+      .customers = {{.id = base::CustomerId("c"), .keys = {"c1", "c2"}},
+                    {.id = base::CustomerId("d"), .keys = {"d1"}}}};
+  const std::string id = "0123456789abcdef";
+  const auto admit = [&](const JobStore& store, const std::string& prefix,
+                         const std::string& key) {
+    const auto admitted =
+        AdmitCall(store, {.host = "h", .path = prefix + id, .key = key});
+    const auto* call = std::get_if<AdmittedCall>(&admitted);
+    return call == nullptr ? std::nullopt : std::optional(*call);
+  };
+  const std::vector<std::string> prefixes{"/q/", "/r/", "/o/", "/p/"};
+  const std::vector<std::string> keys{"", "unknown", "c1", "c2", "d1"};
+  const auto owner = [&](const std::string& key) {
+    return key.empty() || key == "unknown" ? 0 : key[0];
+  };
+  int pairs = 0;
+  for (const std::string& from : prefixes) {
+    for (const std::string& poster : keys) {
+      JobStore store;
+      store.Apply(PutConfiguration{.configuration = configuration});
+      const auto submitted = admit(store, from, poster);
+      if (!submitted)
+        continue;
+      const auto job_of = [&](const AdmittedCall& call) {
+        JobRecord job = Job(id, {{.count = 1}});
+        job.queue = call.queue->name;
+        job.customer = call.customer;
+        return job;
+      };
+      REQUIRE(store.Apply(SubmitJob{.job = job_of(*submitted)}) ==
+              CommandReply::kApplied);
+      for (const std::string& prefix : prefixes) {
+        for (const std::string& key : keys) {
+          INFO(from << " " << poster << " " << prefix << " " << key);
+          const auto call = admit(store, prefix, key);
+          CHECK(call.has_value() ==
+                (owner(key) != 0 || prefix == "/o/" || prefix == "/p/"));
+          if (!call)
+            continue;
+          const bool own = prefix == from && owner(key) == owner(poster);
+          // GET and DELETE.
+          CHECK((VisibleJob(store, *call) != nullptr) == own);
+          // POST.
+          CHECK(Owns(*call, *store.FindJob(base::JobId(id))) == own);
+          CHECK(store.Apply(SubmitJob{.job = job_of(*call)}) ==
+                (own ? CommandReply::kNoChange : CommandReply::kConflict));
+          ++pairs;
+        }
+      }
+    }
+  }
+  // Of 20 pairs of a route and a key, 16 are admitted.
+  CHECK(pairs == 16 * 16);
+}
+
 // Guards against a host that cannot start again because of what it stored.
 TEST_CASE("a store with odd workers is restored from its snapshot") {
   constexpr std::uint64_t kHighest = std::numeric_limits<std::uint64_t>::max();
