Take a start whose connection never opened for one that was not sent

What was not sent counts as unanswered for the worker.

The price in worth and in processor time of the leader was not measured.

--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -397,6 +397,7 @@
       break;
     case CallResult::kNotSent:
       --run.starts.sent;
+      RecordUnanswered(worker, now);
       run.next_call_at = now.instant + kRetryDelay;
       worker.avoid_until = now.instant + kNoAnswerPause;
       // Nothing was sent, so the task can be placed elsewhere immediately.
--- a/tests/jobs/dispatch_simulation.cc
+++ b/tests/jobs/dispatch_simulation.cc
@@ -120,6 +120,8 @@
       dispatcher_.OnStartAnswer(call, result, Time());
     });
   };
+  if (worker != nullptr && worker->gone)
+    return answer({.result = CallResult::kNotSent}, kCallTimeoutMs);
   if (worker == nullptr || worker->silent)
     return answer({.result = CallResult::kUnanswered}, kCallTimeoutMs);
   if (worker->unreachable)
@@ -163,7 +165,7 @@
 
 void DispatchSimulation::Deliver(const StopAction& call) {
   FakeFleet::Worker* worker = fleet_.Find(call.worker.id);
-  const bool lost = worker == nullptr || worker->silent;
+  const bool lost = worker == nullptr || worker->silent || worker->gone;
   ScheduleAfter(lost ? kCallTimeoutMs : kCallMs, [this, call, lost] {
     const CallAnswer result =
         lost ? CallAnswer{.result = CallResult::kUnanswered}
@@ -204,7 +206,8 @@
   open.swap(holds_);
   for (const OpenHold& hold : open) {
     FakeFleet::Worker* worker = fleet_.Find(hold.call.worker.id);
-    const bool lost = hold.lost || worker == nullptr || worker->silent;
+    const bool lost =
+        hold.lost || worker == nullptr || worker->silent || worker->gone;
     const bool timed_out =
         fleet_.now_ms() > hold.sent_ms + hold.call.wait_ms + kHoldMarginMs;
     std::optional<HoldAnswer> answer;
@@ -235,7 +238,7 @@
   next_heartbeat_ms_ = fleet_.now_ms() + kHeartbeatMs;
   for (std::size_t i = 0; i < fleet_.size(); ++i) {
     FakeFleet::Worker& worker = fleet_.worker(i);
-    if (worker.silent || !worker.up)
+    if (worker.silent || worker.gone || !worker.up)
       continue;
     ++worker.description.sequence;
     if (dispatcher_.NeedsRecord(worker.description))
--- a/tests/jobs/fake_fleet.h
+++ b/tests/jobs/fake_fleet.h
@@ -52,6 +52,8 @@
     std::uint64_t late_start_ms = 0;
     // Nothing can be sent to it.
     bool unreachable = false;
+    // No connection to it opens any more.
+    bool gone = false;
     // The HTTP client of the caller repeats each start, and the worker refuses
     // the repeat as unhealthy.
     bool refuses_repeats = false;
--- a/tests/jobs/lost_worker_test.cc
+++ b/tests/jobs/lost_worker_test.cc
@@ -35,6 +35,26 @@
   CHECK(simulation.fleet().starts() == 2);
 }
 
+// Guards against a task that stands beside free workers (LOST): its worker was
+// lost for good right before the start, which no connection carried.
+TEST_CASE("a start that no connection carried does not hold its task") {
+  for (const bool gang : {false, true}) {
+    DispatchSimulation simulation({.workers = 6, .workers_per_rack = 2});
+    simulation.RunFor(2000);
+    // The workers of one domain, which are chosen first.
+    for (std::size_t i = 0; i < 2; ++i)
+      simulation.fleet().worker(i).gone = true;
+    simulation.Submit("a", {gang ? Gang(2, 8, 60'000) : Step(2, 8, 60'000)});
+    simulation.RunFor(2500);
+    CHECK(simulation.fleet().Running({.job = base::JobId("a"), .index = 0}) ==
+          1);
+    CHECK(simulation.fleet().Running({.job = base::JobId("a"), .index = 1}) ==
+          1);
+    CHECK(simulation.decisions().contains("return not_reached"));
+    CHECK(simulation.fleet().violations().empty());
+  }
+}
+
 // Guards against two runs of one task: the worker executes the repeat of a
 // start, and after a restart behind a cut the first copy.
 TEST_CASE("an accepted repeat of a start does not end the wait for the first") {
--- a/tests/net/http_connection_test.cc
+++ b/tests/net/http_connection_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "tests/net/full_listener.h"
 #include "tests/net/raw_server.h"
 
 namespace wigeonstair::net {
@@ -77,6 +78,40 @@
   CHECK_FALSE(connection.IsOpen());
 }
 
+// Guards against a start that is held for a call which left no byte, and
+// against one that is repeated elsewhere although its bytes may have arrived.
+TEST_CASE("a connection that does not open carried nothing") {
+  FullListener listener;
+  HttpConnection connection({.address = listener.address()});
+  const HttpOutcome outcome = Call(connection, std::chrono::milliseconds(200));
+  const auto* not_sent = std::get_if<HttpNotSent>(&outcome);
+  REQUIRE(not_sent != nullptr);
+  CHECK(not_sent->error.code == base::ErrorCode::kTimeout);
+  CHECK_FALSE(connection.IsOpen());
+}
+
+TEST_CASE("a call on a connection that opened may have arrived") {
+  for (const auto end :
+       {RawServer::AfterAnswer::kClose, RawServer::AfterAnswer::kReset}) {
+    // Closes before an answer.
+    RawServer server([](int) { return std::string(); }, end);
+    HttpConnection first({.address = server.address()});
+    CHECK(std::holds_alternative<HttpLost>(Call(first)));
+    CHECK(server.requests() == 1);
+    // Closes within one.
+    RawServer partial([](int) { return std::string("HTTP/1.1 200 O"); }, end);
+    HttpConnection second({.address = partial.address()});
+    CHECK(std::holds_alternative<HttpLost>(Call(second)));
+  }
+  // Closes between two calls: the second may have arrived before.
+  RawServer server([](int) { return kOkAnswer; },
+                   RawServer::AfterAnswer::kKeepOpen);
+  HttpConnection kept({.address = server.address()});
+  REQUIRE(IsAnswered(Call(kept)));
+  server.CloseConnections();
+  CHECK(std::holds_alternative<HttpLost>(Call(kept)));
+}
+
 TEST_CASE("a peer that refuses the connection received nothing") {
   std::string address;
   {
--- a/tests/net/raw_server.cc
+++ b/tests/net/raw_server.cc
@@ -124,11 +124,15 @@
         ++requests_on_kept_;
       return script_(requests_.fetch_add(1));
     }();
+    if (after_answer_ == AfterAnswer::kReset) {
+      const linger reset{.l_onoff = 1, .l_linger = 0};
+      setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
     if (answer.empty())
       return;
     [[maybe_unused]] const ssize_t written =
         send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
-    if (after_answer_ == AfterAnswer::kClose)
+    if (after_answer_ != AfterAnswer::kKeepOpen)
       return;
   }
 }
--- a/tests/net/raw_server.h
+++ b/tests/net/raw_server.h
@@ -20,7 +20,8 @@
   // one request at a time.
   using Script = std::function<std::string(int request_number)>;
 
-  enum class AfterAnswer { kKeepOpen, kClose };
+  // kReset also resets a connection that is closed without an answer.
+  enum class AfterAnswer { kKeepOpen, kClose, kReset };
 
   RawServer(Script script, AfterAnswer after_answer);
   ~RawServer();
--- a/tests/platform/http_worker_port_test.cc
+++ b/tests/platform/http_worker_port_test.cc
@@ -6,8 +6,10 @@
 #include <future>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include "tests/net/full_listener.h"
 #include "tests/net/raw_server.h"
 
 namespace wigeonstair::platform {
@@ -81,8 +83,70 @@
   return answer.get();
 }
 
+jobs::CallAnswer Start(HttpWorkerPort& port, const std::string& address) {
+  std::promise<jobs::CallAnswer> promise;
+  auto answer = promise.get_future();
+  port.Start(
+      {.run = {.task = {.job = base::JobId("5c0e7a21d94b36f8")}, .attempt = 1},
+       .worker = {.id = base::WorkerId("i-1"), .born = 1},
+       .address = address,
+       .fencing_token = 7},
+      [&](const jobs::CallAnswer& value) { promise.set_value(value); });
+  return answer.get();
+}
+
 }  // namespace
 
+// Guards against a task that is held for seconds (LOST): a worker that is lost
+// for good was taken for one that may still carry out the start.
+TEST_CASE("a start to a host that is gone was not sent") {
+  HttpWorkerPort port;
+  net::FullListener gone;
+  CHECK(Start(port, gone.address()).result == jobs::CallResult::kNotSent);
+  // A host that lives, and a process that does not.
+  net::RawServer closed([](int) { return std::string(); },
+                        net::RawServer::AfterAnswer::kReset);
+  closed.StopListening();
+  CHECK(Start(port, closed.address()).result == jobs::CallResult::kNotSent);
+}
+
+TEST_CASE("a start that may have arrived is unanswered") {
+  HttpWorkerPort port;
+  for (const auto end : {net::RawServer::AfterAnswer::kClose,
+                         net::RawServer::AfterAnswer::kReset}) {
+    net::RawServer server([](int) { return std::string(); }, end);
+    const jobs::CallAnswer answer = Start(port, server.address());
+    CHECK(answer.result == jobs::CallResult::kUnanswered);
+    CHECK_FALSE(answer.may_be_repeated);
+    CHECK(server.requests() == 1);
+  }
+  std::promise<void> release;
+  std::shared_future<void> released = release.get_future().share();
+  net::RawServer silent(
+      [released](int) {
+        released.wait();
+        return Answer(1);
+      },
+      net::RawServer::AfterAnswer::kKeepOpen);
+  CHECK(Start(port, silent.address()).result == jobs::CallResult::kUnanswered);
+  release.set_value();
+}
+
+// Guards against a start on a kept connection to a host that went away since
+// its last answer.
+TEST_CASE("a kept connection carries a start only shortly after an answer") {
+  constexpr auto kLongAfter = std::chrono::milliseconds(120);
+  net::RawServer server([](int) { return Answer(1); },
+                        net::RawServer::AfterAnswer::kKeepOpen);
+  HttpWorkerPort port;
+  for (int i = 0; i < 3; ++i) {
+    CHECK(Start(port, server.address()).result == jobs::CallResult::kAccepted);
+    std::this_thread::sleep_for(kLongAfter);
+  }
+  CHECK(server.requests_on_kept() == 0);
+  CHECK(server.requests() == 3);
+}
+
 // Guards against finished tasks that start again: a worker that restarted
 // under its id forgot its first ends, which nobody had read, because they were
 // numbered like acknowledged ends of its former incarnation.
