Take back urgent work beyond one guarantee for another one

Cause: Dispatcher::Victims left out all runs of priority 0, also what a customer uses beyond its guarantee, so lasting urgent work kept the guaranteed accelerators of another customer (guarantee).

Change: after the lower priorities, Victims has the runs of priority 0 of customers that need more than their guarantee, as far as they use more. Such a customer takes nothing back itself.

--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -314,6 +314,8 @@
   // Runs that are preempted together.
   struct Victim {
     StepRef step;
+    // Of priority 0.
+    bool urgent = false;
     // Lost work in core-seconds.
     double lost_work = 0;
     std::vector<RunKey> runs;
@@ -524,6 +526,7 @@
               const Plan& plan,
               Round& round,
               const Now& now);
+  std::vector<Victim> BeyondGuarantee(std::vector<Victim> urgent) const;
   std::vector<Victim> Victims(const Now& now) const;
   void StopVictims(const std::vector<Victim>& victims,
                    const std::vector<CandidateWorker>& workers,
--- a/libraries/jobs/dispatcher_preempt.cc
+++ b/libraries/jobs/dispatcher_preempt.cc
@@ -66,9 +66,42 @@
   return use;
 }
 
-// Runs that may be preempted for urgent jobs, sorted by the work that is lost.
-// The members of a gang form one victim. Runs that are already ending cost
-// nothing.
+// Load pattern: lasting work of priority 0 fills the fleet beyond the guarantee
+// of its customer, and another customer comes for its own guarantee. Keeps of
+// `urgent`, which are sorted by the work that is lost, what the customers use
+// beyond their guarantees. Such a customer is served beyond its guarantee as a
+// whole, so it takes nothing back in turn.
+std::vector<Dispatcher::Victim> Dispatcher::BeyondGuarantee(
+    std::vector<Victim> urgent) const {
+  std::map<base::CustomerId, std::uint64_t> use;
+  const auto accelerators = [&](const Victim& victim) {
+    std::uint64_t sum = 0;
+    for (const RunKey& key : victim.runs)
+      sum += runs_.at(key).resources.accelerators;
+    return sum;
+  };
+  for (const Victim& victim : urgent)
+    use[runs_.at(victim.runs.front()).customer] += accelerators(victim);
+  std::erase_if(urgent, [&](const Victim& victim) {
+    const base::CustomerId& id = runs_.at(victim.runs.front()).customer;
+    const Customer* customer = store_.configuration().FindCustomer(id);
+    const std::uint64_t guaranteed =
+        customer == nullptr ? 0 : customer->guaranteed_accelerators;
+    const auto needed = guaranteed_use_.find(id);
+    const bool within =
+        needed == guaranteed_use_.end() || needed->second <= guaranteed;
+    if (within || use[id] <= guaranteed)
+      return true;
+    use[id] -= accelerators(victim);
+    return false;
+  });
+  return urgent;
+}
+
+// Runs that may be preempted for a job within its customer's guarantee: lower
+// priorities, then what other customers use beyond their guarantees, each
+// sorted by the work that is lost. The members of a gang form one victim. Runs
+// that are already ending cost nothing.
 std::vector<Dispatcher::Victim> Dispatcher::Victims(const Now& now) const {
   // Weight of an accelerator in cores; the platform uses the same.
   constexpr double kAcceleratorCores = 8;
@@ -78,8 +111,11 @@
   std::map<StepRef, Victim> gangs;
   std::vector<Victim> victims;
   for (const auto& [key, run] : runs_) {
-    if (run.priority == 0 || FindWorker(run.worker) == nullptr)
+    const bool urgent = run.priority == 0;
+    if (FindWorker(run.worker) == nullptr ||
+        (urgent && run.resources.accelerators == 0)) {
       continue;
+    }
     const bool ending =
         run.phase == RunPhase::kStopping || run.phase == RunPhase::kEnding;
     const std::chrono::duration<double> ran =
@@ -92,15 +128,24 @@
     Victim& victim =
         run.gang ? gangs[StepOf(key.task)] : victims.emplace_back();
     victim.step = StepOf(key.task);
+    victim.urgent = urgent;
     victim.lost_work += ending ? 0 : lost_work;
     victim.runs.push_back(key);
   }
   for (auto& [step, victim] : gangs)
     victims.push_back(std::move(victim));
-  std::sort(
-      victims.begin(), victims.end(), [](const Victim& a, const Victim& b) {
-        return std::tie(a.lost_work, a.step) < std::tie(b.lost_work, b.step);
-      });
+  std::sort(victims.begin(), victims.end(),
+            [](const Victim& a, const Victim& b) {
+              return std::tie(a.urgent, a.lost_work, a.step) <
+                     std::tie(b.urgent, b.lost_work, b.step);
+            });
+  const auto first_urgent =
+      std::find_if(victims.begin(), victims.end(),
+                   [](const Victim& victim) { return victim.urgent; });
+  const std::vector<Victim> beyond =
+      BeyondGuarantee({first_urgent, victims.end()});
+  victims.erase(first_urgent, victims.end());
+  victims.insert(victims.end(), beyond.begin(), beyond.end());
   return victims;
 }
 
