Let only a host with entries say that a group exists

Cause: a host that is told that its folder was lost answered those that form the group that one exists, although it knows of none, and all waited for a leader for good (formation).

Change: it answers kNoGroup, which counts like a host without history: what was committed is on a majority, and each initial voter must have answered. The host takes its place afterwards like after any lost disk.

--- a/libraries/consensus/codec.cc
+++ b/libraries/consensus/codec.cc
@@ -89,7 +89,7 @@
     CheckRange(reply.verdict, Verdict::kGranted);
   }
   void operator()(const FormationReply& reply) const {
-    CheckRange(reply.state, FormationState::kMismatch);
+    CheckRange(reply.state, FormationState::kNoGroup);
   }
   template <typename Other>
   void operator()(const Other&) const {}
--- a/libraries/consensus/message.h
+++ b/libraries/consensus/message.h
@@ -153,6 +153,8 @@
   kExisting,
   // Was given other initial members.
   kMismatch,
+  // Has lost its folder and knows of no group; it takes no part in forming one.
+  kNoGroup,
 };
 
 struct FormationReply {
--- a/libraries/consensus/replica_formation.cc
+++ b/libraries/consensus/replica_formation.cc
@@ -15,7 +15,9 @@
 // An empty folder means either a new group or a lost disk. Only the other
 // initial voters can tell: the group is new if every one of them has no history
 // either. A single one with a history means that this host must not act under
-// the incarnation that its lost disk had.
+// the incarnation that its lost disk had. One that has lost its disk before the
+// group was formed has no history; it takes its place later, as after any other
+// loss.
 void Replica::StartWithEmptyFolder() {
   hard_state_.incarnation = has_disk() ? options_.new_incarnation : 0;
   const auto self = std::find_if(
@@ -54,7 +56,10 @@
 
 void Replica::HandlePayload(const Message& message,
                             const FormationQuery& query) {
-  FormationState state = FormationState::kExisting;
+  // Only a member that has joined or formed a group knows that one exists.
+  const bool has_group = log_.last_index() > 0;
+  FormationState state =
+      has_group ? FormationState::kExisting : FormationState::kNoGroup;
   const bool formed_and_unused =
       hard_state_.incarnation == kFirstIncarnation &&
       hard_state_.term == kFormationTerm && hard_state_.vote.empty() &&
--- a/tests/consensus/scenario_test.cc
+++ b/tests/consensus/scenario_test.cc
@@ -218,6 +218,52 @@
   CheckClean(simulation);
 }
 
+// Guards against a group that is never formed (Acks): a host that had lost its
+// folder and knew of no group said that one exists, so the others waited for
+// it.
+TEST_CASE("a group forms although a host loses its folder at any step") {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    for (int step_ms = 0; step_ms <= 1200; step_ms += 30) {
+      Simulation simulation(
+          {.seed = seed, .lost = 0, .duplicated = 0, .late = 0});
+      SimulatedHost& host =
+          simulation.host(static_cast<int>(simulation.random().Below(3)));
+      simulation.RunFor(milliseconds(step_ms));
+      simulation.LoseDisk(host);
+      host.lost_folder = true;
+      simulation.RunFor(milliseconds(simulation.random().Below(3000)));
+      simulation.Start(host);
+      simulation.RunFor(seconds(12));
+      INFO("seed " << seed << " step " << step_ms << "\n"
+                   << simulation.Describe());
+      REQUIRE(simulation.Leader() != nullptr);
+      CheckClean(simulation);
+      CHECK(simulation.AllVotersHealthy());
+    }
+  }
+}
+
+// The other hosts start after the loss, as machines that are turned on one
+// after the other.
+TEST_CASE("a host that loses its folder before the others start is replaced") {
+  Simulation simulation({.seed = 5});
+  SimulatedHost& host = simulation.host(2);
+  simulation.Kill(simulation.host(0));
+  simulation.Kill(simulation.host(1));
+  simulation.RunFor(milliseconds(200));
+  simulation.LoseDisk(host);
+  host.lost_folder = true;
+  simulation.Start(simulation.host(0));
+  simulation.Start(simulation.host(1));
+  simulation.RunFor(seconds(3));
+  CHECK(simulation.Leader() == nullptr);
+  simulation.Start(host);
+  simulation.RunFor(seconds(12));
+  CHECK(simulation.Leader() != nullptr);
+  CheckClean(simulation);
+  CHECK(simulation.AllVotersHealthy());
+}
+
 // Guards against histories that differ between two runs of a seed.
 TEST_CASE("a seed gives the same history again") {
   std::string first;
--- a/tests/consensus/simulation.cc
+++ b/tests/consensus/simulation.cc
@@ -56,8 +56,10 @@
   ReplicaDriverOptions options;
   options.replica.host = host.id;
   options.replica.address = host.member.address;
-  for (const auto& other : hosts_)
-    options.replica.initial_members.push_back(other->member);
+  for (const auto& other : hosts_) {
+    if (!host.lost_folder || other->id != host.id)
+      options.replica.initial_members.push_back(other->member);
+  }
   options.replica.durability =
       host.disk ? Durability::kDisk : Durability::kMemory;
   options.replica.commit_record = options_.commit_record;
--- a/tests/consensus/simulation.h
+++ b/tests/consensus/simulation.h
@@ -62,6 +62,8 @@
   // Rises with each start, so that events of a former run are ignored.
   int run = 0;
   Index checked_commit = 0;
+  // It is told that its folder was lost, so it does not form a group.
+  bool lost_folder = false;
   // Last command that was applied since the disk was new.
   Index applied = 0;
 
