--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -49,6 +49,7 @@
   const StepSpec& step = job->spec.steps[placement.task.step];
   Run run{.worker = placement.worker,
           .resources = step.task,
+          .cap_demand = step.task,
           .gang = step.gang,
           .checkpointing = step.checkpointing,
           .priority = job->policy.priority,
