--- a/tests/jobs/dispatch_simulation.cc
+++ b/tests/jobs/dispatch_simulation.cc
@@ -1,6 +1,8 @@
 #include "dispatch_simulation.h"
 
 #include <algorithm>
+#include <functional>
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -8,13 +10,26 @@
 
 namespace {
 
-constexpr std::uint64_t kTickMs = 10;
 constexpr std::uint64_t kCallMs = 1;
 constexpr std::uint64_t kCommitMs = 8;
 constexpr std::uint64_t kCallTimeoutMs = 450;
 constexpr std::uint64_t kHoldMarginMs = 800;
 constexpr std::uint64_t kHeartbeatMs = 1500;
 
+base::CustomerId NameOfCustomer(int number) {
+  return base::CustomerId(number == 0 ? "c" : "c" + std::to_string(number));
+}
+
+std::size_t DigestOf(const Decision& decision) {
+  return std::hash<std::string>()(
+      std::string(decision.kind) + "|" + decision.reason + "|" +
+      decision.task.job.value() + "|" +
+      std::to_string(decision.task.occurrence) + "|" +
+      std::to_string(decision.task.step) + "|" +
+      std::to_string(decision.task.index) + "|" +
+      std::to_string(decision.attempt) + "|" + decision.worker.id.value());
+}
+
 }  // namespace
 
 StepSpec Step(std::uint32_t count,
@@ -39,17 +54,20 @@
       random_(options.seed),
       fleet_(store_, options.workers, options.workers_per_rack),
       dispatcher_(store_, {}) {
-  store_.Apply(PutConfiguration{
-      .configuration = {
-          .version = 1,
-          .queues =
-              {{.name = "q", .host = "h", .path_prefix = "/", .pool = "p"}},
-          .customers = {
-              {.id = base::CustomerId("c"),
-               .keys = {"k"},
-               .guaranteed_accelerators = options.guaranteed_accelerators}}}});
-  for (std::size_t i = 0; i < fleet_.size(); ++i)
+  Configuration configuration{
+      .version = 1,
+      .queues = {{.name = "q", .host = "h", .path_prefix = "/", .pool = "p"}}};
+  for (int i = 0; i < options.customers; ++i) {
+    configuration.customers.push_back(
+        {.id = NameOfCustomer(i),
+         .keys = {"k" + std::to_string(i)},
+         .guaranteed_accelerators = options.guaranteed_accelerators});
+  }
+  store_.Apply(PutConfiguration{.configuration = std::move(configuration)});
+  for (std::size_t i = 0; i < fleet_.size(); ++i) {
+    fleet_.worker(i).description.capacity = options.capacity;
     store_.Apply(RecordWorker{.worker = fleet_.worker(i).description});
+  }
   store_.Apply(TakeOver{.term = term_});
   dispatcher_.Lead(term_, placements_, Time());
 }
@@ -67,11 +85,12 @@
 void DispatchSimulation::Submit(const std::string& id,
                                 std::vector<StepSpec> steps,
                                 std::uint32_t priority,
-                                std::uint32_t max_attempts) {
+                                std::uint32_t max_attempts,
+                                int customer) {
   JobRecord job{.id = base::JobId(id),
                 .queue = "q",
                 .pool = "p",
-                .customer = base::CustomerId("c"),
+                .customer = NameOfCustomer(customer),
                 .policy = {.priority = priority,
                            .max_attempts = max_attempts,
                            .stretch = 3,
@@ -254,7 +273,7 @@
 void DispatchSimulation::RunFor(std::uint64_t ms) {
   const std::uint64_t end = fleet_.now_ms() + ms;
   while (fleet_.now_ms() < end) {
-    fleet_.Advance(fleet_.now_ms() + kTickMs);
+    fleet_.Advance(fleet_.now_ms() + options_.tick_ms);
     while (!events_.empty() && events_.begin()->first <= fleet_.now_ms()) {
       const auto event = std::move(events_.begin()->second);
       events_.erase(events_.begin());
@@ -265,9 +284,11 @@
     const base::Instant began = base::MonotonicClock::now();
     dispatcher_.Tick(Time());
     tick_times_.push_back(base::MonotonicClock::now() - began);
-    for (const Decision& decision : dispatcher_.TakeDecisions())
+    for (const Decision& decision : dispatcher_.TakeDecisions()) {
       ++decisions_[std::string(decision.kind) + " " +
                    decision.reason.substr(0, decision.reason.find(' '))];
+      decision_digest_ = decision_digest_ * 31 + DigestOf(decision);
+    }
     for (const Action& action : dispatcher_.TakeActions())
       std::visit([this](const auto& chosen) { Deliver(chosen); }, action);
   }
--- a/tests/jobs/dispatch_simulation.h
+++ b/tests/jobs/dispatch_simulation.h
@@ -25,6 +25,12 @@
   double late_starts = 0;
   // The same for holds.
   double late_holds = 0;
+  // Interval of Dispatcher::Tick.
+  std::uint64_t tick_ms = 10;
+  // Each has the guaranteed accelerators.
+  int customers = 1;
+  // Of each worker.
+  Resources capacity = {.cpu = 64000, .memory_mb = 256000, .accelerators = 8};
 };
 
 // A dispatcher, its store and a fake fleet on one logical clock. A call takes 1
@@ -37,7 +43,8 @@
   void Submit(const std::string& id,
               std::vector<StepSpec> steps,
               std::uint32_t priority = 1,
-              std::uint32_t max_attempts = 3);
+              std::uint32_t max_attempts = 3,
+              int customer = 0);
   void Apply(const Command& command) { store_.Apply(command); }
   void RunFor(std::uint64_t ms);
   // Another leader takes over; proposals of the old one may be lost.
@@ -55,6 +62,8 @@
   // Time from the acceptance of the job to its end, in milliseconds.
   std::uint64_t DurationMs(const std::string& id) const;
   const std::map<std::string, int>& decisions() const { return decisions_; }
+  // A digest of all decisions so far, in their order.
+  std::size_t decision_digest() const { return decision_digest_; }
   // No more answers are lost and no more calls late.
   void EndFaults();
   // Whether a proposal is lost and fails.
@@ -92,6 +101,7 @@
   std::vector<OpenHold> holds_;
   std::uint64_t next_heartbeat_ms_ = 0;
   std::map<std::string, int> decisions_;
+  std::size_t decision_digest_ = 0;
   std::vector<base::Duration> tick_times_;
 };
 
