--- a/libraries/jobs/dispatcher.cc
+++ b/libraries/jobs/dispatcher.cc
@@ -21,7 +21,11 @@
 }  // namespace
 
 Dispatcher::Dispatcher(const JobStore& store, DispatcherOptions options)
-    : store_(store), options_(options) {}
+    : store_(store),
+      options_(options),
+      open_jobs_(store, [this](const auto&... arguments) {
+        return HoldOf(arguments...);
+      }) {}
 
 void Dispatcher::Lead(std::uint64_t term,
                       const PlacementHistory& placements,
@@ -41,7 +45,11 @@
   uncommitted_returns_.clear();
   runs_.clear();
   runs_by_worker_.clear();
+  urgent_in_use_ = 0;
   lost_attempts_.clear();
+  open_jobs_.Clear();
+  candidates_.clear();
+  candidates_revision_ = 0;
   pending_.clear();
   claims_.clear();
   confirmed_starts_.clear();
@@ -108,18 +116,34 @@
              : &found->second;
 }
 
+Dispatcher::Worker* Dispatcher::WorkerOf(Run& run) {
+  if (run.worker_revision != worker_revision_) {
+    run.recorded_worker = FindWorker(run.worker);
+    run.worker_revision = worker_revision_;
+  }
+  return run.recorded_worker;
+}
+
 void Dispatcher::IndexRun(const RunKey& key, const Run& run) {
+  open_jobs_.Touch(key.task.job);
   RunsOfWorker& of_worker = runs_by_worker_[run.worker];
-  if (of_worker.runs.emplace(key, &run).second)
-    of_worker.in_use += run.resources;
+  if (!of_worker.runs.emplace(key, &run).second)
+    return;
+  of_worker.in_use += run.resources;
+  if (run.priority == 0)
+    urgent_in_use_ += run.resources.accelerators;
 }
 
 void Dispatcher::UnindexRun(const RunKey& key, const Run& run) {
+  open_jobs_.Touch(key.task.job);
   const auto of_worker = runs_by_worker_.find(run.worker);
   if (of_worker == runs_by_worker_.end())
     return;
-  if (of_worker->second.runs.erase(key) > 0)
+  if (of_worker->second.runs.erase(key) > 0) {
     of_worker->second.in_use -= run.resources;
+    if (run.priority == 0)
+      urgent_in_use_ -= run.resources.accelerators;
+  }
   if (of_worker->second.runs.empty())
     runs_by_worker_.erase(of_worker);
 }
@@ -262,6 +286,7 @@
       const auto run = runs_.find(key);
       if (run == runs_.end() || run->second.phase != RunPhase::kProposed)
         continue;
+      open_jobs_.Touch(key.task.job);
       // A placement without confirmation may still be committed, but no start
       // was sent. The run is treated as running, so that the next list of the
       // worker, which does not contain it, ends it.
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -19,6 +19,7 @@
 #include "jobs/api.h"
 #include "jobs/decision.h"
 #include "jobs/job_store.h"
+#include "jobs/open_job_index.h"
 #include "jobs/placement_history.h"
 #include "jobs/planner.h"
 #include "jobs/run_existence.h"
@@ -96,7 +97,7 @@
   std::optional<base::Duration> CheckAdmission(const QueuePolicy& policy,
                                                const std::string& queue,
                                                const JobRecord& job,
-                                               const Now& now) const;
+                                               const Now& now);
 
   // For tests and metrics.
   std::size_t run_count() const { return runs_.size(); }
@@ -109,6 +110,9 @@
     return unused_workers_;
   }
   std::size_t waiting_tasks() const { return waiting_tasks_; }
+  // The name of what differs from a computation from scratch, or empty. For
+  // tests.
+  std::string_view FindStaleState(const Now& now);
 
  private:
   enum class RunPhase {
@@ -162,18 +166,30 @@
     // Time between these samples.
     double sample_seconds = 0;
     std::string checkpoint;
+    // Written by WorkerOf only.
+    Worker* recorded_worker = nullptr;
+    std::uint64_t worker_revision = 0;
   };
 
-  // A run of AdvanceRuns. Its job and its worker are found once for all checks.
+  // What the runs of a step have in common in AdvanceRuns.
+  struct CheckedStep {
+    // Null when not known.
+    const JobRecord* job = nullptr;
+    // Null when none was placed.
+    const std::vector<TaskProgress>* tasks = nullptr;
+    // The attempt under which all members of a gang are placed, or empty.
+    std::optional<std::uint32_t> whole_attempt;
+    // No run of the step is faster; infinite when their speeds are not known.
+    double fastest = std::numeric_limits<double>::infinity();
+  };
+
+  // A run of AdvanceRuns.
   struct CheckedRun {
     const RunKey& key;
     Run& run;
-    // Null when not known.
-    const JobRecord* job = nullptr;
+    const CheckedStep& step;
     // Null when the incarnation is not the recorded one.
     Worker* worker = nullptr;
-    // No run of the step is faster; infinite when their speeds are not known.
-    double fastest = std::numeric_limits<double>::infinity();
   };
 
   // Part of the index of `runs_`.
@@ -226,6 +242,8 @@
     std::optional<base::Instant> leaves_at;
     // When the worker announced that it ends as soon as it is acknowledged.
     std::optional<base::Instant> deregisters_at;
+    // The index in `candidates_`; empty when it gets no tasks.
+    std::optional<std::size_t> candidate;
   };
 
   struct RemovedWorkerRecord {
@@ -270,50 +288,58 @@
   using Pending =
       std::variant<std::vector<RunKey>, PendingEnds, PendingConfirmation>;
 
-  struct ReadyStep {
-    StepRef step;
-    const JobRecord* job = nullptr;
-    const StepSpec* spec = nullptr;
-    std::vector<std::uint32_t> waiting;
-    std::uint64_t due_ms = 0;
-    std::uint64_t objective_ms = 0;
-    double work_ms = 0;
-  };
-
-  struct ReadySteps {
-    std::vector<ReadyStep> steps;
-    // Steps with tasks that wait for the end of an earlier run, and the first
-    // of these tasks.
-    std::vector<std::pair<TaskRef, const JobRecord*>> held;
-  };
-
   // Value of a step that starts now: ends within its objective, after it, or
   // after the value has dropped to zero.
   enum class Urgency { kInTime, kLate, kZeroValue };
 
-  // Properties that decide where a step fits: task resources, pool and label,
-  // data rack, whether it must stay in one rack, and whether it is urgent. If a
-  // gang does not fit, no larger gang of the same shape fits.
-  using Shape = std::tuple<Resources, std::string, std::string, bool, bool>;
+  // What decides where a step fits: the number of its shape without those
+  // properties that matter on a single worker only, and whether it must stay in
+  // one rack. If a gang does not fit, no larger gang of the same shape fits.
+  using Shape = std::pair<std::size_t, bool>;
+
+  // A run that may be preempted.
+  struct VictimRun {
+    const RunKey* key = nullptr;
+    Run* run = nullptr;
+    // The candidate that it runs on; empty when its worker is none.
+    std::optional<std::size_t> candidate;
+  };
+
+  // Runs that are preempted together.
+  struct Victim {
+    // Of the first run.
+    const TaskRef* task = nullptr;
+    // Lost work in core-seconds.
+    double lost_work = 0;
+    std::vector<VictimRun> runs;
+  };
+
+  // A step that does not fit even without all victims. Neither does one of the
+  // same shape with as many tasks that take as long.
+  struct HopelessStep {
+    std::uint32_t count = 0;
+    double work_ms = 0;
+  };
 
   // The state of one placement round.
   struct Round {
     std::vector<CandidateWorker> workers;
+    // Accelerators of the workers.
+    std::uint64_t capacity = 0;
+    std::uint64_t free = 0;
     std::vector<Placement> placements;
     // By shape, the smallest number of tasks of a step that did not fit in this
     // round.
     std::map<Shape, std::uint32_t> refused;
+    // By shape of the index and rack rule.
+    std::map<std::pair<std::size_t, RackRule>, HopelessStep> hopeless;
+    // RackCapacity by shape of the index.
+    std::vector<std::optional<std::uint64_t>> rack_capacity;
     int reservations = 0;
     // Computed for the first reservation.
     std::optional<std::vector<Allocation>> allocations;
-  };
-
-  // Runs that are preempted together.
-  struct Victim {
-    StepRef step;
-    // Lost work in core-seconds.
-    double lost_work = 0;
-    std::vector<RunKey> runs;
+    // Computed for the first preemption after runs were added or stopped.
+    std::optional<std::vector<Victim>> victims;
   };
 
   // Resources that are reserved for an urgent step until its victims have
@@ -336,6 +362,8 @@
                       base::Duration input_age = {});
   Worker* FindWorker(const WorkerIncarnation& incarnation);
   const Worker* FindWorker(const WorkerIncarnation& incarnation) const;
+  // The same for the worker of a run; remembers it in the run.
+  Worker* WorkerOf(Run& run);
   // Keep `runs_by_worker_` in step with `runs_`.
   void IndexRun(const RunKey& key, const Run& run);
   void UnindexRun(const RunKey& key, const Run& run);
@@ -374,6 +402,10 @@
                        const WorkerIncarnation& successor,
                        const Now& now);
   void AdvanceRuns(const Now& now);
+  // What the runs of a step have in common. The speeds are set on request.
+  CheckedStep CheckStep(const RunKey& key,
+                        const JobRecord* job,
+                        bool with_speeds) const;
   // Returns why a run that the worker accepted must be stopped, or empty.
   std::optional<std::string> StopReasonOfRunning(const CheckedRun& checked,
                                                  const Now& now);
@@ -460,9 +492,7 @@
       const std::set<base::DomainId>& unresponsive_domains,
       const Now& now) const;
   // Samples the reasons why steps wait and workers get no tasks.
-  void ExplainWaiting(const ReadySteps& ready,
-                      const Round& round,
-                      const Now& now);
+  void ExplainWaiting(const ReadySteps& ready, Round& round, const Now& now);
   // `unreserved` are the workers without what is reserved or claimed.
   std::string_view WaitReason(
       const ReadyStep& ready,
@@ -472,50 +502,65 @@
   // dispatcher_placement.cc, dispatcher_reserve.cc, dispatcher_preempt.cc and
   // dispatcher_admission.cc
   void PlaceRound(const Now& now);
-  static Shape ShapeOf(const ReadyStep& ready, RackRule rule);
-  // The workers that may get tasks, in order of their incarnations.
-  std::vector<CandidateWorker> CandidateWorkers(const Now& now) const;
-  // The resources that current runs hold on `workers`.
-  std::vector<Allocation> Allocations(
-      const std::vector<CandidateWorker>& workers,
-      const Now& now) const;
+  Shape ShapeOf(const ReadyStep& ready, RackRule rule) const;
+  // The state of a round with the workers that may get tasks, in order of their
+  // incarnations.
+  Round BeginRound(const Now& now);
+  // Sets `candidates_`.
+  void UpdateCandidates(const Now& now);
+  // The resources that current runs hold on the candidates.
+  std::vector<Allocation> Allocations(const Now& now);
   double RemainingMs(const RunKey& key, const Run& run, const Now& now) const;
-  void UpdateUrgentDemand(const std::vector<ReadyStep>& ready, const Now& now);
+  // `job` is that of the run, or null.
+  double RemainingMs(const JobRecord* job,
+                     const RunKey& key,
+                     const Run& run,
+                     const Now& now) const;
+  void UpdateUrgentDemand(const std::vector<ReadyStep*>& ready, const Now& now);
   // Number of accelerators to keep free for expected urgent jobs.
-  std::uint64_t UrgentReserve(
-      const std::vector<CandidateWorker>& workers) const;
-  static bool IsBusy(const std::vector<CandidateWorker>& workers);
+  std::uint64_t UrgentReserve(const Round& round) const;
+  // Whether more than half of the accelerators are in use.
+  static bool IsBusy(std::uint64_t capacity, std::uint64_t free);
   void Reserve(const ReadyStep& ready,
                const std::vector<Allocation>& allocations,
                std::vector<CandidateWorker>& workers) const;
   PlanRequest RequestOf(const ReadyStep& ready) const;
-  ReadySteps FindReadySteps(const Now& now) const;
-  // Adds a step to `ready` if all of its dependencies are done and it has tasks
-  // to place.
-  void AddReadyStep(const JobRecord& job,
-                    const StepRef& step,
-                    std::uint64_t due_ms,
-                    double critical_path_ms,
-                    const Now& now,
-                    ReadySteps& ready) const;
+  // Brings the index of the open jobs up to date.
+  void RefreshOpenJobs(const Now& now);
+  TaskHold HoldOf(const JobRecord& job,
+                  const TaskRef& task,
+                  const TaskProgress* progress,
+                  const Now& now) const;
+  ReadySteps FindReadySteps(const Now& now);
   std::vector<std::uint32_t> TasksPerWorker(
       const std::vector<CandidateWorker>& workers,
-      const StepRef& step) const;
+      const ReadyStep& ready) const;
   static Urgency UrgencyOf(const ReadyStep& ready, const Now& now);
-  static void SortByUrgency(std::vector<ReadyStep>& ready, const Now& now);
+  static void SortByUrgency(std::vector<ReadyStep*>& ready, const Now& now);
   void PlaceOrPreempt(ReadyStep& ready, Round& round, const Now& now);
   bool PlaceStep(ReadyStep& ready, RackRule rule, Round& round, const Now& now);
   void Commit(const ReadyStep& ready,
               const Plan& plan,
               Round& round,
               const Now& now);
-  std::vector<Victim> Victims(const Now& now) const;
+  std::vector<Victim> Victims(const Now& now);
+  // The smallest number of victims without which the request fits, or empty.
+  static std::optional<std::size_t> CountVictims(
+      const Round& round,
+      const std::vector<std::uint32_t>& used,
+      const PlanRequest& request,
+      RackRule rule);
+  static Plan PlanWithout(const std::vector<Victim>& victims,
+                          const std::vector<CandidateWorker>& workers,
+                          const std::vector<std::uint32_t>& used,
+                          const PlanRequest& request,
+                          RackRule rule);
   void StopVictims(const std::vector<Victim>& victims,
                    const std::vector<CandidateWorker>& workers,
                    const Plan& plan,
                    const ReadyStep& ready,
                    const Now& now);
-  void ApplyClaims(const std::vector<ReadyStep>& ready,
+  void ApplyClaims(const std::vector<ReadyStep*>& ready,
                    std::vector<CandidateWorker>& workers,
                    const Now& now);
   void PlaceClaimed(ReadyStep& ready,
@@ -525,11 +570,10 @@
   bool IsGuaranteed(const ReadyStep& ready) const;
   bool Preempt(const ReadyStep& ready,
                RackRule rule,
-               std::vector<CandidateWorker>& workers,
+               Round& round,
                const Now& now);
-  std::map<base::CustomerId, std::uint64_t> GuaranteedUse() const;
   RackRule RackRuleFor(const ReadyStep& ready,
-                       const std::vector<CandidateWorker>& workers,
+                       Round& round,
                        const Now& now) const;
   double BacklogMs(std::uint32_t priority, const Now& now) const;
   double ExpectedTaskMs(const JobRecord& job, std::uint32_t step) const;
@@ -552,6 +596,8 @@
   // own runs.
   std::map<WorkerIncarnation, RunsOfWorker> runs_by_worker_;
   std::map<TaskRef, std::vector<LostAttempt>> lost_attempts_;
+  // Told of each change of the runs and of the lost attempts of a job.
+  OpenJobIndex open_jobs_;
   // Starts whose confirmation is not in the log yet.
   std::vector<RunKey> confirmed_starts_;
   bool placed_since_confirmation_ = false;
@@ -569,11 +615,15 @@
   std::map<std::string_view, std::size_t> unused_workers_;
   base::Instant next_explanation_at_{};
   std::map<StepRef, Claim> claims_;
-  // For the current round: the accelerators that the open jobs of priority 0 of
-  // each customer need.
-  std::map<base::CustomerId, std::uint64_t> guaranteed_use_;
+  // The workers that may get tasks, in order of their incarnations, as of the
+  // last UpdateCandidates. The current round holds them while it runs.
+  std::vector<CandidateWorker> candidates_;
+  // `worker_revision_` at that time.
+  std::uint64_t candidates_revision_ = 0;
   // Earliest time of the next placement round.
   base::Instant next_placement_at_{};
+  // The accelerators that runs of priority 0 hold.
+  std::uint64_t urgent_in_use_ = 0;
   // Current demand of urgent jobs and its decaying peak, in accelerators.
   double urgent_demand_ = 0;
   double urgent_peak_ = 0;
--- a/libraries/jobs/dispatcher_admission.cc
+++ b/libraries/jobs/dispatcher_admission.cc
@@ -43,11 +43,16 @@
 double Dispatcher::RemainingMs(const RunKey& key,
                                const Run& run,
                                const Now& now) const {
+  return RemainingMs(store_.FindJob(key.task.job), key, run, now);
+}
+
+double Dispatcher::RemainingMs(const JobRecord* job,
+                               const RunKey& key,
+                               const Run& run,
+                               const Now& now) const {
   constexpr double kMinimumRemainingMs = 200;
-  if (run.phase == RunPhase::kStopping || run.phase == RunPhase::kEnding)
-    return kMinimumRemainingMs;
-  const JobRecord* job = store_.FindJob(key.task.job);
-  if (job == nullptr)
+  if (run.phase == RunPhase::kStopping || run.phase == RunPhase::kEnding ||
+      job == nullptr)
     return kMinimumRemainingMs;
   const double whole = ExpectedTaskMs(*job, key.task.step) *
                        (run.remote ? options_.remote_factor : 1);
@@ -60,31 +65,26 @@
 // accelerator-milliseconds.
 double Dispatcher::BacklogMs(std::uint32_t priority, const Now& now) const {
   double backlog = 0;
+  const RunKey* last = nullptr;
+  const JobRecord* holder = nullptr;
   for (const auto& [key, run] : runs_) {
-    if (run.priority <= priority) {
-      backlog += static_cast<double>(run.resources.accelerators) *
-                 RemainingMs(key, run, now);
-    }
-  }
-  for (const base::JobId& id : store_.open_jobs()) {
-    const JobRecord& job = *store_.FindJob(id);
-    if (job.policy.priority > priority || job.spec.repeat_count > 0)
+    if (run.priority > priority)
       continue;
-    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-      const StepSpec& spec = job.spec.steps[step];
-      const std::vector<TaskProgress>* tasks = job.FindProgress(0, step);
-      const auto waiting =
-          tasks == nullptr
-              ? spec.count
-              : std::count_if(tasks->begin(), tasks->end(),
-                              [](const TaskProgress& task) {
-                                return task.phase == TaskPhase::kWaiting;
-                              });
-      backlog += static_cast<double>(waiting) *
-                 static_cast<double>(spec.task.accelerators) *
-                 ExpectedTaskMs(job, step);
-    }
+    // The runs of a job are neighbours.
+    if (last == nullptr || last->task.job != key.task.job)
+      holder = store_.FindJob(key.task.job);
+    last = &key;
+    backlog += static_cast<double>(run.resources.accelerators) *
+               RemainingMs(holder, key, run, now);
   }
+  open_jobs_.VisitUnplaced(
+      [&](const JobRecord& job, std::uint32_t step, std::uint32_t tasks) {
+        if (job.policy.priority > priority || tasks == 0)
+          return;
+        backlog += static_cast<double>(tasks) *
+                   static_cast<double>(job.spec.steps[step].task.accelerators) *
+                   ExpectedTaskMs(job, step);
+      });
   return backlog;
 }
 
@@ -95,15 +95,19 @@
     const QueuePolicy& policy,
     const std::string& queue,
     const JobRecord& job,
-    const Now& now) const {
-  const std::vector<CandidateWorker> workers = CandidateWorkers(now);
+    const Now& now) {
+  if (job.spec.repeat_count > 0 || policy.priority == 0)
+    return std::nullopt;
+  UpdateCandidates(now);
   std::uint64_t capacity = 0;
-  for (const CandidateWorker& candidate : workers)
+  std::uint64_t free = 0;
+  for (const CandidateWorker& candidate : candidates_) {
     capacity += candidate.capacity.accelerators;
-  if (capacity == 0 || !IsBusy(workers) || job.spec.repeat_count > 0 ||
-      policy.priority == 0) {
-    return std::nullopt;
+    free += candidate.free.accelerators;
   }
+  if (capacity == 0 || !IsBusy(capacity, free))
+    return std::nullopt;
+  RefreshOpenJobs(now);
   const double critical_path = CriticalPathMs(queue, job.spec);
   const double end_ms =
       critical_path + BacklogMs(policy.priority, now) /
--- a/libraries/jobs/dispatcher_explain.cc
+++ b/libraries/jobs/dispatcher_explain.cc
@@ -75,8 +75,7 @@
                    })) {
     return "no_usable_worker";
   }
-  const std::vector<std::uint32_t> used =
-      TasksPerWorker(unreserved, ready.step);
+  const std::vector<std::uint32_t> used = TasksPerWorker(unreserved, ready);
   const auto fits = [&](RackRule tried) {
     return ready.spec->gang
                ? PlanAll(unreserved, used, request, tried).has_value()
@@ -88,7 +87,7 @@
 }
 
 void Dispatcher::ExplainWaiting(const ReadySteps& ready,
-                                const Round& round,
+                                Round& round,
                                 const Now& now) {
   if (now.instant < next_explanation_at_)
     return;
@@ -122,11 +121,12 @@
   // Steps of one shape have the same reason but for their number of tasks; the
   // first one stands for all, so that a long queue costs little.
   std::map<std::pair<Shape, bool>, std::string_view> reasons;
-  for (const ReadyStep& entry : ready.steps) {
+  for (const ReadyStep* waiting : ready.steps) {
+    const ReadyStep& entry = *waiting;
     if (entry.waiting.empty() ||
         (entry.spec->gang && placed.contains(entry.step)))
       continue;
-    const RackRule rule = RackRuleFor(entry, round.workers, now);
+    const RackRule rule = RackRuleFor(entry, round, now);
     const auto [reason, is_new] = reasons.try_emplace(
         {ShapeOf(entry, rule), claims_.contains(entry.step)});
     if (is_new)
@@ -153,4 +153,35 @@
   }
 }
 
+std::string_view Dispatcher::FindStaleState(const Now& now) {
+  RefreshOpenJobs(now);
+  OpenJobIndex jobs(store_, [this](const auto&... arguments) {
+    return HoldOf(arguments...);
+  });
+  jobs.Refresh(open_jobs_.due_by_ms(), now);
+  if (!open_jobs_.HasSameContent(jobs))
+    return "open jobs";
+  UpdateCandidates(now);
+  const std::vector<CandidateWorker> kept = std::exchange(candidates_, {});
+  candidates_revision_ = 0;
+  UpdateCandidates(now);
+  if (kept != candidates_)
+    return "candidates";
+  std::map<WorkerIncarnation, Resources> in_use;
+  std::uint64_t urgent = 0;
+  for (auto& [key, run] : runs_) {
+    in_use[run.worker] += run.resources;
+    urgent += run.priority == 0 ? run.resources.accelerators : 0;
+    if (WorkerOf(run) != FindWorker(run.worker))
+      return "workers of runs";
+  }
+  const bool same_use = std::equal(
+      in_use.begin(), in_use.end(), runs_by_worker_.begin(),
+      runs_by_worker_.end(), [](const auto& recount, const auto& kept_use) {
+        return recount.first == kept_use.first &&
+               recount.second == kept_use.second.in_use;
+      });
+  return same_use && urgent == urgent_in_use_ ? "" : "resources in use";
+}
+
 }  // namespace wigeonstair::jobs
--- a/libraries/jobs/dispatcher_health.cc
+++ b/libraries/jobs/dispatcher_health.cc
@@ -56,6 +56,13 @@
 // Only calls since the last answer from the domain count: in a domain of a
 // hundred workers some always fail, and the others must stay in use.
 std::set<base::DomainId> Dispatcher::UnresponsiveDomains(const Now& now) const {
+  const auto suspects =
+      std::count_if(workers_.begin(), workers_.end(), [&](const auto& item) {
+        const auto& since = item.second.unanswered_at;
+        return since && now.instant - *since < kSuspectPeriod;
+      });
+  if (static_cast<std::size_t>(suspects) < kUnresponsiveThreshold)
+    return {};
   std::map<base::DomainId, base::Instant> last_answers;
   for (const auto& [id, worker] : workers_) {
     base::Instant& last = last_answers[worker.description.domain];
@@ -110,7 +117,7 @@
                                                    const Now& now) const {
   const RunKey& key = checked.key;
   const Run& run = checked.run;
-  const JobRecord* job = checked.job;
+  const JobRecord* job = checked.step.job;
   const Worker* worker = checked.worker;
   // Without a recent list the progress of the run is unknown.
   const bool listed = worker != nullptr && run.listed_at &&
@@ -126,7 +133,8 @@
     return "hangs";
   // The members of a gang progress at the same speed.
   // The median cannot exceed the highest speed.
-  if (!run.gang && run.speed && *run.speed * kSlowFactor < checked.fastest &&
+  if (!run.gang && run.speed &&
+      *run.speed * kSlowFactor < checked.step.fastest &&
       IsSlowestOfStep(key, run))
     return "slow_worker";
   return std::nullopt;
@@ -177,7 +185,7 @@
 bool Dispatcher::MustLeaveWorker(const CheckedRun& checked,
                                  const Now& now) const {
   const Run& run = checked.run;
-  const JobRecord* job = checked.job;
+  const JobRecord* job = checked.step.job;
   const Worker* worker = checked.worker;
   if (worker != nullptr && worker->deregisters_at)
     return true;
--- a/libraries/jobs/dispatcher_lists.cc
+++ b/libraries/jobs/dispatcher_lists.cc
@@ -237,6 +237,7 @@
     if (run != runs_.end() &&
         run->second.worker == worker.description.incarnation) {
       run->second.phase = RunPhase::kEnding;
+      open_jobs_.Touch(end.run.task.job);
       pending.runs.push_back(end.run);
     }
     if (store_.FindTask(end.run.task) == nullptr)
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -18,111 +18,114 @@
 
 }  // namespace
 
-std::vector<CandidateWorker> Dispatcher::CandidateWorkers(
-    const Now& now) const {
+void Dispatcher::UpdateCandidates(const Now& now) {
   const std::set<base::DomainId> silent = UnresponsiveDomains(now);
-  std::vector<CandidateWorker> workers;
-  workers.reserve(workers_.size());
-  for (const auto& [id, worker] : workers_) {
-    const WorkerDescription& description = worker.description;
+  bool changed =
+      std::exchange(candidates_revision_, worker_revision_) != worker_revision_;
+  std::size_t count = 0;
+  // Both maps are in the order of the incarnations.
+  auto used = runs_by_worker_.begin();
+  for (auto& [id, worker] : workers_) {
+    worker.candidate.reset();
     if (UnusableReason(worker, silent, now))
       continue;
-    CandidateWorker candidate{.incarnation = description.incarnation,
-                              .pool = description.pool,
-                              .rack = description.rack,
-                              .labels = description.labels,
-                              .capacity = description.capacity,
-                              .free = description.capacity,
-                              .penalty = worker.failures};
-    const auto used = runs_by_worker_.find(description.incarnation);
-    if (used != runs_by_worker_.end())
+    const WorkerDescription& description = worker.description;
+    worker.candidate = count++;
+    if (count > candidates_.size())
+      candidates_.emplace_back();
+    CandidateWorker& candidate = candidates_[count - 1];
+    if (changed || candidate.incarnation != description.incarnation) {
+      changed = true;
+      candidate = {.incarnation = description.incarnation,
+                   .pool = description.pool,
+                   .rack = description.rack,
+                   .labels = description.labels,
+                   .capacity = description.capacity};
+    }
+    candidate.free = description.capacity;
+    candidate.claimed = {};
+    candidate.penalty = worker.failures;
+    candidate.urgent_only = false;
+    candidate.usable_ms = std::numeric_limits<double>::infinity();
+    while (used != runs_by_worker_.end() &&
+           used->first < description.incarnation)
+      ++used;
+    if (used != runs_by_worker_.end() && used->first == description.incarnation)
       candidate.free -= used->second.in_use;
-    workers.push_back(std::move(candidate));
   }
-  return workers;
+  changed = changed || count != candidates_.size();
+  candidates_.resize(count);
+  if (changed)
+    NumberRacks(candidates_);
+}
+
+Dispatcher::Round Dispatcher::BeginRound(const Now& now) {
+  UpdateCandidates(now);
+  Round round{.workers = std::move(candidates_)};
+  for (const CandidateWorker& candidate : round.workers) {
+    round.capacity += candidate.capacity.accelerators;
+    round.free += candidate.free.accelerators;
+  }
+  round.rack_capacity.resize(open_jobs_.shapes().size());
+  return round;
+}
+
+TaskHold Dispatcher::HoldOf(const JobRecord& job,
+                            const TaskRef& task,
+                            const TaskProgress* progress,
+                            const Now& now) const {
+  if (progress != nullptr && MayHaveUsedAttempts(job, task, *progress, now))
+    return TaskHold::kEarlierRun;
+  // A previous run of the task may not have ended yet.
+  const auto run = runs_.lower_bound({.task = task, .attempt = 0});
+  if (run == runs_.end() || run->first.task != task)
+    return TaskHold::kNone;
+  return run->second.phase == RunPhase::kProposed ? TaskHold::kProposed
+                                                  : TaskHold::kEarlierRun;
 }
 
-Dispatcher::ReadySteps Dispatcher::FindReadySteps(const Now& now) const {
+void Dispatcher::RefreshOpenJobs(const Now& now) {
+  // The answer of MayHaveUsedAttempts changes with time and workers.
+  for (const auto& [task, attempts] : lost_attempts_)
+    open_jobs_.Touch(task.job);
   const auto early_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
       options_.early_start);
-  ReadySteps ready;
-  for (const base::JobId& id : store_.open_jobs()) {
-    const JobRecord& job = *store_.FindJob(id);
-    const double critical_path = CriticalPathMs(job.queue, job.spec);
-    for (std::uint32_t k = 0; k < job.spec.occurrences(); ++k) {
-      const std::uint64_t due = job.DueMs(k);
-      if (due > now.wall_ms + static_cast<std::uint64_t>(early_ms.count()))
-        break;
-      for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-        AddReadyStep(job, {.job = id, .occurrence = k, .step = step}, due,
-                     critical_path, now, ready);
-      }
-    }
-  }
-  return ready;
+  open_jobs_.Refresh(now.wall_ms + static_cast<std::uint64_t>(early_ms.count()),
+                     now);
 }
 
-void Dispatcher::AddReadyStep(const JobRecord& job,
-                              const StepRef& step,
-                              std::uint64_t due_ms,
-                              double critical_path_ms,
-                              const Now& now,
-                              ReadySteps& ready) const {
-  const StepSpec& spec = job.spec.steps[step.step];
-  const std::vector<TaskProgress>* tasks =
-      job.FindProgress(step.occurrence, step.step);
-  if (!job.DependenciesDone(step.occurrence, step.step))
-    return;
-  ReadyStep entry{.step = step,
-                  .job = &job,
-                  .spec = &spec,
-                  .due_ms = due_ms,
-                  .work_ms = ExpectedTaskMs(job, step.step)};
-  entry.objective_ms =
-      due_ms + job.policy.completion_target_ms +
-      static_cast<std::uint64_t>(job.policy.stretch * critical_path_ms);
-  std::optional<TaskRef> held;
-  for (std::uint32_t index = 0; index < spec.count; ++index) {
-    const TaskRef task{.job = step.job,
-                       .occurrence = step.occurrence,
-                       .step = step.step,
-                       .index = index};
-    if (tasks != nullptr && (*tasks)[index].phase != TaskPhase::kWaiting)
-      continue;
-    if (tasks != nullptr &&
-        MayHaveUsedAttempts(job, task, (*tasks)[index], now)) {
-      held = held.value_or(task);
-      continue;
-    }
-    // A previous run of the task may not have ended yet.
-    const auto run = runs_.lower_bound({.task = task, .attempt = 0});
-    if (run == runs_.end() || run->first.task != task)
-      entry.waiting.push_back(index);
-    else if (!held && run->second.phase != RunPhase::kProposed)
-      held = task;
+ReadySteps Dispatcher::FindReadySteps(const Now& now) {
+  RefreshOpenJobs(now);
+  ReadySteps ready = open_jobs_.Ready();
+  const JobRecord* last = nullptr;
+  double critical_path_ms = 0;
+  for (ReadyStep* entry : ready.steps) {
+    const JobRecord& job = *entry->job;
+    // The steps of a job are neighbours.
+    if (std::exchange(last, &job) != &job)
+      critical_path_ms = CriticalPathMs(job.queue, job.spec);
+    entry->work_ms = ExpectedTaskMs(job, entry->step.step);
+    entry->objective_ms =
+        entry->due_ms + job.policy.completion_target_ms +
+        static_cast<std::uint64_t>(job.policy.stretch * critical_path_ms);
   }
-  if (held)
-    ready.held.emplace_back(*held, &job);
-  const bool partial = spec.gang && entry.waiting.size() != spec.count;
-  if (!entry.waiting.empty() && !partial)
-    ready.steps.push_back(std::move(entry));
+  return ready;
 }
 
 std::vector<std::uint32_t> Dispatcher::TasksPerWorker(
     const std::vector<CandidateWorker>& workers,
-    const StepRef& step) const {
+    const ReadyStep& ready) const {
   std::vector<std::uint32_t> used(workers.size());
-  if (store_.FindJob(step.job)->spec.steps[step.step].max_per_worker == 0)
+  if (ready.spec->max_per_worker == 0)
     return used;
+  const StepRef& step = ready.step;
   const RunKey first{.task = {.job = step.job,
                               .occurrence = step.occurrence,
                               .step = step.step}};
   for (auto run = runs_.lower_bound(first);
        run != runs_.end() && StepOf(run->first.task) == step; ++run) {
-    for (std::size_t i = 0; i < workers.size(); ++i) {
-      if (workers[i].incarnation == run->second.worker)
-        ++used[i];
-    }
+    if (const auto candidate = FindCandidate(workers, run->second.worker))
+      ++used[*candidate];
   }
   return used;
 }
@@ -131,35 +134,28 @@
 // objective there, and also later while the fleet is busy: across racks it
 // would occupy its workers several times as long.
 RackRule Dispatcher::RackRuleFor(const ReadyStep& ready,
-                                 const std::vector<CandidateWorker>& workers,
+                                 Round& round,
                                  const Now& now) const {
   const StepSpec& step = *ready.spec;
   if (!step.rack_local && step.data_rack.empty())
     return RackRule::kAnyRack;
   const bool missed = static_cast<double>(now.wall_ms) + ready.work_ms >
                       static_cast<double>(ready.objective_ms);
-  if (missed && !IsBusy(workers))
+  if (missed && !IsBusy(round.capacity, round.free))
     return RackRule::kAnyRack;
-  std::map<base::RackId, std::uint64_t> fits;
-  const PlanRequest request{.step = &step, .pool = ready.job->pool};
-  for (const CandidateWorker& candidate : workers) {
-    if (Accepts(candidate, request))
-      fits[candidate.rack] += CountFitting(candidate.capacity, step, 0);
+  std::optional<std::uint64_t>& capacity = round.rack_capacity[ready.shape];
+  if (!capacity) {
+    capacity =
+        RackCapacity(round.workers, {.step = &step, .pool = ready.job->pool});
   }
   const std::uint64_t needed = step.gang ? step.count : 1;
-  const bool possible =
-      step.data_rack.empty()
-          ? std::any_of(fits.begin(), fits.end(),
-                        [&](const auto& rack) { return rack.second >= needed; })
-          : fits[base::RackId(step.data_rack)] >= needed;
-  return possible ? RackRule::kOneRack : RackRule::kAnyRack;
+  return *capacity >= needed ? RackRule::kOneRack : RackRule::kAnyRack;
 }
 
-Dispatcher::Shape Dispatcher::ShapeOf(const ReadyStep& ready, RackRule rule) {
-  const StepSpec& step = *ready.spec;
-  return {step.task, ready.job->pool + "/" + step.required_label,
-          step.data_rack, step.rack_local && rule == RackRule::kOneRack,
-          ready.job->policy.priority == 0};
+Dispatcher::Shape Dispatcher::ShapeOf(const ReadyStep& ready,
+                                      RackRule rule) const {
+  return {open_jobs_.shapes()[ready.shape].without_limits,
+          ready.spec->rack_local && rule == RackRule::kOneRack};
 }
 
 Dispatcher::Urgency Dispatcher::UrgencyOf(const ReadyStep& ready,
@@ -176,47 +172,68 @@
 // Load pattern: bursts of short urgent gangs on top of long ones. Orders steps
 // by priority; within a priority, those that can still meet their objective
 // come before late ones. Steps whose value has dropped to zero come last.
-void Dispatcher::SortByUrgency(std::vector<ReadyStep>& ready, const Now& now) {
-  const auto key = [&](const ReadyStep& entry) {
-    const Urgency level = UrgencyOf(entry, now);
-    return std::tuple(level == Urgency::kZeroValue, entry.job->policy.priority,
-                      level, entry.objective_ms, entry.step);
+void Dispatcher::SortByUrgency(std::vector<ReadyStep*>& ready, const Now& now) {
+  struct Key {
+    bool has_no_value = false;
+    std::uint32_t priority = 0;
+    Urgency level = Urgency::kInTime;
+    std::uint64_t objective_ms = 0;
+    ReadyStep* entry = nullptr;
   };
-  std::sort(
-      ready.begin(), ready.end(),
-      [&](const ReadyStep& a, const ReadyStep& b) { return key(a) < key(b); });
+  std::vector<Key> keys;
+  keys.reserve(ready.size());
+  for (ReadyStep* entry : ready) {
+    const Urgency level = UrgencyOf(*entry, now);
+    keys.push_back({.has_no_value = level == Urgency::kZeroValue,
+                    .priority = entry->job->policy.priority,
+                    .level = level,
+                    .objective_ms = entry->objective_ms,
+                    .entry = entry});
+  }
+  std::sort(keys.begin(), keys.end(), [](const Key& a, const Key& b) {
+    return std::tie(a.has_no_value, a.priority, a.level, a.objective_ms,
+                    a.entry->step) < std::tie(b.has_no_value, b.priority,
+                                              b.level, b.objective_ms,
+                                              b.entry->step);
+  });
+  for (std::size_t i = 0; i < keys.size(); ++i)
+    ready[i] = keys[i].entry;
 }
 
 void Dispatcher::PlaceRound(const Now& now) {
   if (now.instant < next_placement_at_)
     return;
   ReadySteps found = FindReadySteps(now);
-  std::vector<ReadyStep>& ready = found.steps;
+  std::vector<ReadyStep*>& ready = found.steps;
   // With a long queue, rounds are less frequent, so that a small host keeps
   // processor time for start calls and lists.
   next_placement_at_ =
       now.instant +
       std::min<base::Duration>(kLongestPause, kPausePerStep * ready.size());
   waiting_tasks_ = 0;
-  for (const ReadyStep& entry : ready)
-    waiting_tasks_ += entry.waiting.size();
+  for (const ReadyStep* entry : ready)
+    waiting_tasks_ += entry->waiting.size();
   if (ready.empty()) {
-    ExplainWaiting(found, {}, now);
+    Round none;
+    ExplainWaiting(found, none, now);
     return;
   }
   SortByUrgency(ready, now);
-  Round round{.workers = CandidateWorkers(now)};
+  Round round = BeginRound(now);
   UpdateUrgentDemand(ready, now);
-  guaranteed_use_ = GuaranteedUse();
   ApplyClaims(ready, round.workers, now);
   bool urgent_reserved = false;
-  for (ReadyStep& entry : ready) {
-    const bool urgent = entry.job->policy.priority == 0;
+  for (ReadyStep* entry : ready) {
+    const bool urgent = entry->job->policy.priority == 0;
     if (!urgent && !std::exchange(urgent_reserved, true))
-      ReserveForUrgent(round.workers, UrgentReserve(round.workers));
-    PlaceOrPreempt(entry, round, now);
+      ReserveForUrgent(round.workers, UrgentReserve(round));
+    const std::size_t waiting = entry->waiting.size();
+    PlaceOrPreempt(*entry, round, now);
+    if (entry->waiting.size() != waiting)
+      open_jobs_.Touch(entry->step.job);
   }
   ExplainWaiting(found, round, now);
+  candidates_ = std::move(round.workers);
   if (round.placements.empty())
     return;
   std::vector<RunKey> keys;
@@ -234,7 +251,7 @@
                                 Round& round,
                                 const Now& now) {
   const bool urgent = ready.job->policy.priority == 0;
-  const RackRule rule = RackRuleFor(ready, round.workers, now);
+  const RackRule rule = RackRuleFor(ready, round, now);
   if (claims_.contains(ready.step)) {
     PlaceClaimed(ready, rule, round, now);
     return;
@@ -251,13 +268,14 @@
     round.refused[shape] =
         ready.spec->gang ? static_cast<std::uint32_t>(ready.waiting.size()) : 1;
   }
-  if (urgent && Preempt(ready, rule, round.workers, now))
+  if (urgent && Preempt(ready, rule, round, now))
     return;
   if (ready.spec->gang && UrgencyOf(ready, now) != Urgency::kZeroValue &&
-      round.reservations < kMaximumReservations && IsBusy(round.workers)) {
+      round.reservations < kMaximumReservations &&
+      IsBusy(round.capacity, round.free)) {
     ++round.reservations;
     if (!round.allocations)
-      round.allocations = Allocations(round.workers, now);
+      round.allocations = Allocations(now);
     Reserve(ready, *round.allocations, round.workers);
   }
 }
@@ -277,8 +295,7 @@
                            Round& round,
                            const Now& now) {
   const PlanRequest request = RequestOf(ready);
-  const std::vector<std::uint32_t> used =
-      TasksPerWorker(round.workers, ready.step);
+  const std::vector<std::uint32_t> used = TasksPerWorker(round.workers, ready);
   if (ready.spec->gang) {
     const std::optional<Plan> plan =
         PlanAll(round.workers, used, request, rule);
@@ -306,6 +323,8 @@
     for (const TaskProgress& task : *tasks)
       highest = std::max(highest, task.attempt);
   }
+  if (!plan.workers.empty())
+    round.victims.reset();
   for (std::size_t i = 0; i < plan.workers.size(); ++i) {
     CandidateWorker& candidate = round.workers[plan.workers[i]];
     const std::uint32_t index = ready.waiting[i];
@@ -321,7 +340,9 @@
     AddRun(placement, now);
     Run& run = runs_.at({placement.task, placement.attempt});
     run.remote = plan.remote;
+    round.free -= candidate.free.accelerators;
     candidate.free -= run.resources;
+    round.free += candidate.free.accelerators;
     round.placements.push_back(placement);
   }
 }
--- a/libraries/jobs/dispatcher_preempt.cc
+++ b/libraries/jobs/dispatcher_preempt.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -15,70 +16,28 @@
 // take two round trips.
 constexpr base::Duration kClaimTimeout = std::chrono::milliseconds(1400);
 
-// Returns the smallest number from 1 to `count` for which `sufficient` holds,
-// or empty when it does not hold for `count`. Binary search: if it holds for a
-// number, it must hold for all larger ones.
-template <typename Sufficient>
-std::optional<std::size_t> SmallestSufficient(std::size_t count,
-                                              Sufficient sufficient) {
-  if (count == 0 || !sufficient(count))
-    return std::nullopt;
-  std::size_t low = 1;
-  std::size_t high = count;
-  while (low < high) {
-    const std::size_t middle = low + (high - low) / 2;
-    if (sufficient(middle))
-      high = middle;
-    else
-      low = middle + 1;
-  }
-  return low;
-}
-
-// Returns null when the worker is no candidate. `workers` are those of
-// CandidateWorkers.
-template <typename Workers>
-auto FindCandidate(Workers& workers, const WorkerIncarnation& incarnation) {
-  const auto found = std::lower_bound(
-      workers.begin(), workers.end(), incarnation,
-      [](const CandidateWorker& candidate, const WorkerIncarnation& sought) {
-        return candidate.incarnation < sought;
-      });
-  return found == workers.end() || found->incarnation != incarnation ? nullptr
-                                                                     : &*found;
+bool IsSameStep(const TaskRef& a, const TaskRef& b) {
+  return a.step == b.step && a.occurrence == b.occurrence && a.job == b.job;
 }
 
 }  // namespace
 
-// The accelerators that all steps of the open jobs of priority 0 of each
-// customer need in total.
-std::map<base::CustomerId, std::uint64_t> Dispatcher::GuaranteedUse() const {
-  std::map<base::CustomerId, std::uint64_t> use;
-  for (const base::JobId& id : store_.open_jobs()) {
-    const JobRecord& job = *store_.FindJob(id);
-    if (job.policy.priority != 0)
-      continue;
-    std::uint64_t total = 0;
-    for (const StepSpec& step : job.spec.steps)
-      total += step.count * step.task.accelerators;
-    use[job.customer] += total;
-  }
-  return use;
-}
-
 // Runs that may be preempted for urgent jobs, sorted by the work that is lost.
 // The members of a gang form one victim. Runs that are already ending cost
 // nothing.
-std::vector<Dispatcher::Victim> Dispatcher::Victims(const Now& now) const {
+std::vector<Dispatcher::Victim> Dispatcher::Victims(const Now& now) {
   // Weight of an accelerator in cores; the platform uses the same.
   constexpr double kAcceleratorCores = 8;
   // Expected time since the last checkpoint of a checkpointing task, in
   // seconds; this work is lost when the task stops.
   constexpr double kUncheckpointedSeconds = 0.5;
-  std::map<StepRef, Victim> gangs;
+  std::vector<Victim> gangs;
   std::vector<Victim> victims;
-  for (const auto& [key, run] : runs_) {
-    if (run.priority == 0 || FindWorker(run.worker) == nullptr)
+  for (auto& [key, run] : runs_) {
+    if (run.priority == 0)
+      continue;
+    const Worker* worker = WorkerOf(run);
+    if (worker == nullptr)
       continue;
     const bool ending =
         run.phase == RunPhase::kStopping || run.phase == RunPhase::kEnding;
@@ -89,27 +48,54 @@
         kAcceleratorCores * static_cast<double>(run.resources.accelerators);
     const double lost_work =
         cores * (run.checkpointing ? kUncheckpointedSeconds : ran.count()) + 1;
-    Victim& victim =
-        run.gang ? gangs[StepOf(key.task)] : victims.emplace_back();
-    victim.step = StepOf(key.task);
+    // The members of a gang are neighbours.
+    const bool member =
+        run.gang && !gangs.empty() && IsSameStep(*gangs.back().task, key.task);
+    Victim& victim = member ? gangs.back()
+                            : (run.gang ? gangs : victims)
+                                  .emplace_back(Victim{.task = &key.task});
     victim.lost_work += ending ? 0 : lost_work;
-    victim.runs.push_back(key);
+    victim.runs.push_back(
+        {.key = &key, .run = &run, .candidate = worker->candidate});
   }
-  for (auto& [step, victim] : gangs)
-    victims.push_back(std::move(victim));
-  std::sort(
-      victims.begin(), victims.end(), [](const Victim& a, const Victim& b) {
-        return std::tie(a.lost_work, a.step) < std::tie(b.lost_work, b.step);
-      });
+  victims.insert(victims.end(), std::make_move_iterator(gangs.begin()),
+                 std::make_move_iterator(gangs.end()));
+  std::sort(victims.begin(), victims.end(),
+            [](const Victim& a, const Victim& b) {
+              return std::tie(a.lost_work, a.task->job, a.task->occurrence,
+                              a.task->step) < std::tie(b.lost_work, b.task->job,
+                                                       b.task->occurrence,
+                                                       b.task->step);
+            });
   return victims;
 }
 
 bool Dispatcher::IsGuaranteed(const ReadyStep& ready) const {
   const Customer* customer =
       store_.configuration().FindCustomer(ready.job->customer);
-  return customer != nullptr && ready.step.step == 0 &&
-         guaranteed_use_.at(ready.job->customer) <=
-             customer->guaranteed_accelerators;
+  if (customer == nullptr || ready.step.step != 0)
+    return false;
+  const auto need = open_jobs_.urgent_need().find(ready.job->customer);
+  return need == open_jobs_.urgent_need().end() ||
+         need->second <= customer->guaranteed_accelerators;
+}
+
+std::optional<std::size_t> Dispatcher::CountVictims(
+    const Round& round,
+    const std::vector<std::uint32_t>& used,
+    const PlanRequest& request,
+    RackRule rule) {
+  GangRoom room(round.workers, used, request, rule);
+  const std::vector<Victim>& victims = *round.victims;
+  for (std::size_t i = 0; i < victims.size(); ++i) {
+    for (const VictimRun& victim : victims[i].runs) {
+      if (victim.candidate)
+        room.Free(*victim.candidate, victim.run->resources);
+    }
+    if (room.IsEnough())
+      return i + 1;
+  }
+  return std::nullopt;
 }
 
 // Preempts lower priorities for a step of a job within its customer's
@@ -119,33 +105,34 @@
 // times the work that was needed, and the gangs started too late.
 bool Dispatcher::Preempt(const ReadyStep& ready,
                          RackRule rule,
-                         std::vector<CandidateWorker>& workers,
+                         Round& round,
                          const Now& now) {
   if (!IsGuaranteed(ready))
     return false;
-  const std::vector<Victim> victims = Victims(now);
   const PlanRequest request = RequestOf(ready);
-  const std::vector<std::uint32_t> used = TasksPerWorker(workers, ready.step);
-  const auto plan_without = [&](std::size_t count) {
-    std::vector<CandidateWorker> freed = workers;
-    for (std::size_t i = 0; i < count; ++i) {
-      for (const RunKey& key : victims[i].runs) {
-        const Run& run = runs_.at(key);
-        if (CandidateWorker* candidate = FindCandidate(freed, run.worker))
-          candidate->free += run.resources;
-      }
-    }
-    return PlanAll(freed, used, request, rule);
-  };
-  const std::optional<std::size_t> count = SmallestSufficient(
-      victims.size(),
-      [&](std::size_t tried) { return plan_without(tried).has_value(); });
-  if (!count)
+  const bool limited = ready.spec->max_per_worker > 0;
+  const auto hopeless = round.hopeless.find({ready.shape, rule});
+  if (!limited && hopeless != round.hopeless.end() &&
+      request.count >= hopeless->second.count &&
+      request.work_ms >= hopeless->second.work_ms) {
     return false;
-  const Plan plan = *plan_without(*count);
-  StopVictims(
-      {victims.begin(), victims.begin() + static_cast<std::ptrdiff_t>(*count)},
-      workers, plan, ready, now);
+  }
+  if (!round.victims)
+    round.victims = Victims(now);
+  std::vector<CandidateWorker>& workers = round.workers;
+  const std::vector<std::uint32_t> used = TasksPerWorker(workers, ready);
+  const auto count = CountVictims(round, used, request, rule);
+  if (!count) {
+    round.hopeless[{ready.shape, rule}] = {.count = request.count,
+                                           .work_ms = request.work_ms};
+    return false;
+  }
+  const std::vector<Victim> victims(
+      round.victims->begin(),
+      round.victims->begin() + static_cast<std::ptrdiff_t>(*count));
+  const Plan plan = PlanWithout(victims, workers, used, request, rule);
+  StopVictims(victims, workers, plan, ready, now);
+  round.victims.reset();
   Claim claim{.task = ready.spec->task,
               .expires_at = now.instant + kClaimTimeout};
   for (const std::size_t candidate : plan.workers) {
@@ -156,6 +143,22 @@
   return true;
 }
 
+// The plan of a request that fits without the victims.
+Plan Dispatcher::PlanWithout(const std::vector<Victim>& victims,
+                             const std::vector<CandidateWorker>& workers,
+                             const std::vector<std::uint32_t>& used,
+                             const PlanRequest& request,
+                             RackRule rule) {
+  std::vector<CandidateWorker> freed = workers;
+  for (const Victim& victim : victims) {
+    for (const VictimRun& entry : victim.runs) {
+      if (entry.candidate)
+        freed[*entry.candidate].free += entry.run->resources;
+    }
+  }
+  return PlanAll(freed, used, request, rule).value_or(Plan{});
+}
+
 // Stops victims in order of lost work until the tasks of the plan fit on each
 // of its workers.
 void Dispatcher::StopVictims(const std::vector<Victim>& victims,
@@ -175,24 +178,25 @@
             .first->second;
     need.demand += ready.spec->task;
   }
-  const auto need_of = [&](const RunKey& key) {
-    return needs.find(runs_.at(key).worker);
+  const auto need_of = [&](const VictimRun& entry) {
+    return needs.find(entry.run->worker);
   };
   for (const Victim& victim : victims) {
     const bool helps = std::any_of(
-        victim.runs.begin(), victim.runs.end(), [&](const RunKey& key) {
-          const auto need = need_of(key);
+        victim.runs.begin(), victim.runs.end(), [&](const VictimRun& entry) {
+          const auto need = need_of(entry);
           return need != needs.end() && !need->second.met();
         });
     if (!helps)
       continue;
-    for (const RunKey& key : victim.runs) {
-      Run& run = runs_.at(key);
-      const auto need = need_of(key);
+    for (const VictimRun& entry : victim.runs) {
+      Run& run = *entry.run;
+      const auto need = need_of(entry);
       if (need != needs.end())
         need->second.candidate.free += run.resources;
       if (run.phase == RunPhase::kStarting || run.phase == RunPhase::kRunning) {
-        RequestStop(key, run, "preempted_for " + ready.step.job.value(), now);
+        RequestStop(*entry.key, run, "preempted_for " + ready.step.job.value(),
+                    now);
       }
     }
   }
@@ -201,25 +205,26 @@
 // Drops claims whose step no longer waits, which have a worker that can no
 // longer take tasks, or whose victims did not end in time. Marks the resources
 // of the others as claimed.
-void Dispatcher::ApplyClaims(const std::vector<ReadyStep>& ready,
+void Dispatcher::ApplyClaims(const std::vector<ReadyStep*>& ready,
                              std::vector<CandidateWorker>& workers,
                              const Now& now) {
   if (claims_.empty())
     return;
   std::set<StepRef> waiting;
-  for (const ReadyStep& entry : ready)
-    waiting.insert(entry.step);
+  for (const ReadyStep* entry : ready)
+    waiting.insert(entry->step);
   std::erase_if(claims_, [&](const auto& entry) {
     const auto& [step, claim] = entry;
     return now.instant > claim.expires_at || !waiting.contains(step) ||
-           !std::all_of(claim.task_workers.begin(), claim.task_workers.end(),
-                        [&](const WorkerIncarnation& incarnation) {
-                          return FindCandidate(workers, incarnation) != nullptr;
-                        });
+           !std::all_of(
+               claim.task_workers.begin(), claim.task_workers.end(),
+               [&](const WorkerIncarnation& incarnation) {
+                 return FindCandidate(workers, incarnation).has_value();
+               });
   });
   for (const auto& [step, claim] : claims_) {
     for (const WorkerIncarnation& incarnation : claim.task_workers)
-      FindCandidate(workers, incarnation)->claimed += claim.task;
+      workers[*FindCandidate(workers, incarnation)].claimed += claim.task;
   }
 }
 
@@ -230,8 +235,11 @@
                               Round& round,
                               const Now& now) {
   Claim& claim = claims_.at(ready.step);
+  // The step may leave room where it had a claim.
+  round.hopeless.clear();
   for (const WorkerIncarnation& incarnation : claim.task_workers)
-    FindCandidate(round.workers, incarnation)->claimed -= claim.task;
+    round.workers[*FindCandidate(round.workers, incarnation)].claimed -=
+        claim.task;
   const std::size_t placed_before = round.placements.size();
   if (PlaceStep(ready, rule, round, now)) {
     claims_.erase(ready.step);
@@ -245,7 +253,8 @@
       claim.task_workers.erase(used);
   }
   for (const WorkerIncarnation& incarnation : claim.task_workers)
-    FindCandidate(round.workers, incarnation)->claimed += claim.task;
+    round.workers[*FindCandidate(round.workers, incarnation)].claimed +=
+        claim.task;
 }
 
 }  // namespace wigeonstair::jobs
--- a/libraries/jobs/dispatcher_reserve.cc
+++ b/libraries/jobs/dispatcher_reserve.cc
@@ -21,38 +21,35 @@
 
 }  // namespace
 
-std::vector<Allocation> Dispatcher::Allocations(
-    const std::vector<CandidateWorker>& workers,
-    const Now& now) const {
+std::vector<Allocation> Dispatcher::Allocations(const Now& now) {
   std::vector<Allocation> allocations;
   allocations.reserve(runs_.size());
-  for (std::size_t i = 0; i < workers.size(); ++i) {
-    const auto here = runs_by_worker_.find(workers[i].incarnation);
-    if (here == runs_by_worker_.end())
+  const RunKey* last = nullptr;
+  const JobRecord* job = nullptr;
+  for (auto& [key, run] : runs_) {
+    const Worker* worker = WorkerOf(run);
+    if (worker == nullptr || !worker->candidate)
       continue;
-    for (const auto& [key, run] : here->second.runs) {
-      allocations.push_back({.candidate = i,
-                             .resources = run->resources,
-                             .remaining_ms = RemainingMs(key, *run, now)});
-    }
+    // The runs of a job are neighbours.
+    if (last == nullptr || last->task.job != key.task.job)
+      job = store_.FindJob(key.task.job);
+    last = &key;
+    allocations.push_back({.candidate = *worker->candidate,
+                           .resources = run.resources,
+                           .remaining_ms = RemainingMs(job, key, run, now)});
   }
   return allocations;
 }
 
 // The peak follows an increase in urgent demand immediately and decays
 // exponentially.
-void Dispatcher::UpdateUrgentDemand(const std::vector<ReadyStep>& ready,
+void Dispatcher::UpdateUrgentDemand(const std::vector<ReadyStep*>& ready,
                                     const Now& now) {
-  std::uint64_t held = 0;
-  for (const auto& [key, run] : runs_) {
-    if (run.priority == 0)
-      held += run.resources.accelerators;
-  }
-  urgent_demand_ = static_cast<double>(held);
-  for (const ReadyStep& entry : ready) {
-    if (entry.job->policy.priority == 0) {
-      urgent_demand_ += static_cast<double>(entry.waiting.size() *
-                                            entry.spec->task.accelerators);
+  urgent_demand_ = static_cast<double>(urgent_in_use_);
+  for (const ReadyStep* entry : ready) {
+    if (entry->job->policy.priority == 0) {
+      urgent_demand_ += static_cast<double>(entry->waiting.size() *
+                                            entry->spec->task.accelerators);
     }
   }
   const std::chrono::duration<double, std::milli> passed =
@@ -63,26 +60,16 @@
   urgent_peak_at_ = now.instant;
 }
 
-std::uint64_t Dispatcher::UrgentReserve(
-    const std::vector<CandidateWorker>& workers) const {
-  if (!IsBusy(workers))
+std::uint64_t Dispatcher::UrgentReserve(const Round& round) const {
+  if (!IsBusy(round.capacity, round.free))
     return 0;
-  std::uint64_t capacity = 0;
-  for (const CandidateWorker& candidate : workers)
-    capacity += candidate.capacity.accelerators;
   const double reserve =
       std::min(urgent_peak_ - urgent_demand_,
-               kMaximumReserveShare * static_cast<double>(capacity));
+               kMaximumReserveShare * static_cast<double>(round.capacity));
   return static_cast<std::uint64_t>(std::max(reserve, 0.0));
 }
 
-bool Dispatcher::IsBusy(const std::vector<CandidateWorker>& workers) {
-  std::uint64_t free = 0;
-  std::uint64_t capacity = 0;
-  for (const CandidateWorker& candidate : workers) {
-    free += candidate.free.accelerators;
-    capacity += candidate.capacity.accelerators;
-  }
+bool Dispatcher::IsBusy(std::uint64_t capacity, std::uint64_t free) {
   return static_cast<double>(capacity - free) >
          kBusyShare * static_cast<double>(capacity);
 }
--- a/libraries/jobs/dispatcher_runs.cc
+++ b/libraries/jobs/dispatcher_runs.cc
@@ -99,6 +99,7 @@
   RecordDecision("move", key, run.worker, "worker_restarted", now);
   UnindexRun(key, run);
   run.worker = successor;
+  run.worker_revision = 0;
   IndexRun(key, run);
   run.phase = RunPhase::kRunning;
   run.call_in_flight = false;
@@ -124,6 +125,28 @@
   return StopReason(checked, now);
 }
 
+Dispatcher::CheckedStep Dispatcher::CheckStep(const RunKey& key,
+                                              const JobRecord* job,
+                                              bool with_speeds) const {
+  CheckedStep step{.job = job};
+  const bool known = job != nullptr && key.task.step < job->spec.steps.size();
+  const bool gang = known && job->spec.steps[key.task.step].gang;
+  if (known)
+    step.tasks = job->FindProgress(key.task.occurrence, key.task.step);
+  if (gang && step.tasks != nullptr && !step.tasks->empty()) {
+    const std::uint32_t attempt = step.tasks->front().attempt;
+    const bool whole = std::all_of(
+        step.tasks->begin(), step.tasks->end(), [&](const TaskProgress& task) {
+          return task.phase == TaskPhase::kPlaced && task.attempt == attempt;
+        });
+    if (whole)
+      step.whole_attempt = attempt;
+  }
+  if (with_speeds && !gang)
+    step.fastest = FastestOfStep(key);
+  return step;
+}
+
 // Running tasks are checked periodically: with a thousand of them, a check
 // after each event left a small host no processor time for calls.
 void Dispatcher::AdvanceRuns(const Now& now) {
@@ -132,9 +155,7 @@
     next_sweep_at_ = now.instant + kSweepInterval;
   std::map<AbsenceProof, std::vector<RunKey>> absent;
   const TaskRef* last = nullptr;
-  const JobRecord* job = nullptr;
-  constexpr double kUnknown = std::numeric_limits<double>::infinity();
-  double fastest = kUnknown;
+  CheckedStep step;
   for (auto& [key, run] : runs_) {
     if (run.phase == RunPhase::kProposed || run.phase == RunPhase::kEnding ||
         (run.phase == RunPhase::kRunning && !sweeps)) {
@@ -143,18 +164,14 @@
     // The runs of a job are neighbours, and so are those of a step.
     const TaskRef& task = key.task;
     const bool new_job = last == nullptr || last->job != task.job;
-    if (new_job)
-      job = store_.FindJob(task.job);
     if (new_job || last->occurrence != task.occurrence ||
         last->step != task.step) {
-      fastest = sweeps && !run.gang ? FastestOfStep(key) : kUnknown;
+      step =
+          CheckStep(key, new_job ? store_.FindJob(task.job) : step.job, sweeps);
     }
     last = &task;
-    CheckedRun checked{.key = key,
-                       .run = run,
-                       .job = job,
-                       .worker = FindWorker(run.worker),
-                       .fastest = fastest};
+    CheckedRun checked{
+        .key = key, .run = run, .step = step, .worker = WorkerOf(run)};
     const bool recorded = checked.worker != nullptr;
     if (!recorded || run.starts.sent > 0) {
       const auto proof = ProveAbsence(run.starts, StateOfWorker(checked),
@@ -171,7 +188,7 @@
       if (successor == nullptr)
         continue;
       MoveToSuccessor(key, run, successor->description.incarnation, now);
-      checked.worker = FindWorker(run.worker);
+      checked.worker = WorkerOf(run);
     }
     if (run.phase != RunPhase::kStopping) {
       auto reason = run.phase == RunPhase::kRunning
@@ -209,11 +226,10 @@
                                                   const Now& now) const {
   const RunKey& key = checked.key;
   const Run& run = checked.run;
-  const JobRecord* job = checked.job;
+  const JobRecord* job = checked.step.job;
   if (job == nullptr)
     return "job_unknown";
-  const std::vector<TaskProgress>* tasks =
-      job->FindProgress(key.task.occurrence, key.task.step);
+  const std::vector<TaskProgress>* tasks = checked.step.tasks;
   if (tasks == nullptr || key.task.index >= tasks->size())
     return "not_placed";
   const TaskProgress& task = (*tasks)[key.task.index];
@@ -230,15 +246,8 @@
     return job->state == JobState::kCancelled ? "job_cancelled" : "job_ended";
   if (task.phase == TaskPhase::kWaiting)
     return "not_placed";
-  if (run.gang) {
-    const bool all_placed = std::all_of(
-        tasks->begin(), tasks->end(), [&](const TaskProgress& other) {
-          return other.phase == TaskPhase::kPlaced &&
-                 other.attempt == key.attempt;
-        });
-    if (!all_placed)
-      return "gang_incomplete";
-  }
+  if (run.gang && checked.step.whole_attempt != key.attempt)
+    return "gang_incomplete";
   if (run.phase == RunPhase::kStarting) {
     if (!MayStart(checked, now))
       return "worker_leaving";
@@ -492,7 +501,11 @@
                                    const Run& run,
                                    const Now& now) {
   std::erase_if(lost_attempts_, [&](const auto& entry) {
-    return now.instant - entry.second.back().answered_at > kOutcomeWait;
+    const bool expired =
+        now.instant - entry.second.back().answered_at > kOutcomeWait;
+    if (expired)
+      open_jobs_.Touch(entry.first.job);
+    return expired;
   });
   lost_attempts_[key.task].push_back(
       {.attempt = key.attempt,
@@ -504,9 +517,11 @@
 void Dispatcher::ResolveLostAttempts(const WorkerIncarnation& worker,
                                      base::Instant sent_at) {
   for (auto& [task, attempts] : lost_attempts_) {
-    std::erase_if(attempts, [&](const LostAttempt& lost) {
+    const auto dropped = std::erase_if(attempts, [&](const LostAttempt& lost) {
       return lost.worker == worker && lost.lost_at < sent_at;
     });
+    if (dropped > 0)
+      open_jobs_.Touch(task.job);
   }
   std::erase_if(lost_attempts_,
                 [](const auto& entry) { return entry.second.empty(); });
@@ -556,6 +571,7 @@
   for (const RunKey& key : keys) {
     Run& run = runs_.at(key);
     run.phase = RunPhase::kEnding;
+    open_jobs_.Touch(key.task.job);
     command.ends.push_back({.task = key.task,
                             .attempt = key.attempt,
                             .outcome = RunOutcome::kReturned,
--- a/libraries/jobs/job_store.cc
+++ b/libraries/jobs/job_store.cc
@@ -102,6 +102,7 @@
   const auto [found, inserted] = jobs_.try_emplace(command.job.id, command.job);
   if (inserted) {
     open_jobs_.insert(command.job.id);
+    job_changes_.Add(command.job.id);
     return CommandReply::kApplied;
   }
   return found->second.spec == command.job.spec ? CommandReply::kNoChange
@@ -138,6 +139,7 @@
   if (found == jobs_.end())
     return;
   JobRecord& job = found->second;
+  job_changes_.Add(job.id);
   const bool exists =
       placement.task.step < job.spec.steps.size() &&
       placement.task.occurrence < job.spec.occurrences() &&
@@ -172,6 +174,7 @@
   if (found == jobs_.end() || found->second.ended())
     return;
   JobRecord& job = found->second;
+  job_changes_.Add(job.id);
   const auto tasks = job.progress.find({end.task.occurrence, end.task.step});
   if (tasks == job.progress.end() || end.task.index >= tasks->second.size())
     return;
@@ -224,6 +227,7 @@
   job.state = state;
   job.ended_ms = now_ms;
   open_jobs_.erase(job.id);
+  job_changes_.Add(job.id);
 }
 
 CommandReply JobStore::Execute(const RecordWorker& command) {
@@ -271,8 +275,11 @@
     return item.second < command.ended_before_ms;
   });
   std::erase_if(jobs_, [&](const auto& item) {
-    return item.second.ended() &&
-           item.second.ended_ms < command.ended_before_ms;
+    const bool forgotten =
+        item.second.ended() && item.second.ended_ms < command.ended_before_ms;
+    if (forgotten)
+      job_changes_.Add(item.first);
+    return forgotten;
   });
   return CommandReply::kApplied;
 }
@@ -291,6 +298,8 @@
   if (std::holds_alternative<base::Error>(complete))
     restored = TRY(net::Decode<JobStore>(snapshot));
   restored.worker_revision_ = worker_revision_ + 1;
+  restored.job_changes_ = job_changes_;
+  restored.job_changes_.AddAll();
   *this = std::move(restored);
   return std::monostate{};
 }
--- a/libraries/jobs/job_store.h
+++ b/libraries/jobs/job_store.h
@@ -10,6 +10,7 @@
 
 #include "base/result.h"
 #include "jobs/command.h"
+#include "jobs/job_changes.h"
 
 namespace wigeonstair::jobs {
 
@@ -44,6 +45,10 @@
   // hosts.
   std::uint64_t worker_revision() const { return worker_revision_; }
 
+  // The jobs that the last commands changed. A reference to a job is valid
+  // until the job is listed there.
+  const JobChanges& job_changes() const { return job_changes_; }
+
   // The number of jobs of a queue without any placed task.
   std::uint64_t PendingJobs(const std::string& queue) const;
 
@@ -88,6 +93,7 @@
   // When each incarnation deregistered, in milliseconds since the Unix epoch.
   std::map<WorkerIncarnation, std::uint64_t> deregistered_;
   std::uint64_t worker_revision_ = 1;
+  JobChanges job_changes_;
 };
 
 }  // namespace wigeonstair::jobs
--- a/libraries/jobs/planner.cc
+++ b/libraries/jobs/planner.cc
@@ -5,6 +5,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <span>
 #include <tuple>
 #include <utility>
 
@@ -12,6 +13,9 @@
 
 namespace {
 
+// Above the number of tasks of any step.
+constexpr std::uint64_t kMaximumTasksPerWorker = std::uint64_t{1} << 20;
+
 Resources ReservedResources(const StepSpec& step) {
   Resources task = step.task;
   // Tasks with `fills` use leftover processor time, so none is reserved for
@@ -21,29 +25,50 @@
   return task;
 }
 
+// The number of tasks that fit into `space`, up to `most`.
+std::uint64_t CountUpTo(std::uint64_t most,
+                        const Resources& space,
+                        const Resources& task) {
+  std::uint64_t fits = most;
+  if (task.cpu > 0)
+    fits = std::min(fits, space.cpu / task.cpu);
+  if (task.memory_mb > 0)
+    fits = std::min(fits, space.memory_mb / task.memory_mb);
+  if (task.accelerators > 0)
+    fits = std::min(fits, space.accelerators / task.accelerators);
+  return fits;
+}
+
+// Whether the worker may take tasks of the request, if they fit.
+bool IsOpen(const CandidateWorker& candidate, const PlanRequest& request) {
+  return (request.urgent || !candidate.urgent_only) &&
+         request.work_ms <= candidate.usable_ms && Accepts(candidate, request);
+}
+
 // Workers that can take tasks of the request now, best fit first.
 std::vector<std::size_t> FeasibleWorkers(
     const std::vector<CandidateWorker>& workers,
     const std::vector<std::uint32_t>& used,
     const PlanRequest& request) {
-  std::vector<std::size_t> found;
-  for (std::size_t i = 0; i < workers.size(); ++i) {
-    const bool open = (request.urgent || !workers[i].urgent_only) &&
-                      request.work_ms <= workers[i].usable_ms;
-    if (open && Accepts(workers[i], request) &&
-        CountFitting(workers[i].Usable(), *request.step, used[i]) > 0) {
-      found.push_back(i);
-    }
-  }
   const bool needs_accelerator = request.step->task.accelerators > 0;
-  const auto key = [&](std::size_t i) {
+  // Penalty, free accelerators, cores and memory, and the worker's index.
+  using Key =
+      std::tuple<int, std::uint64_t, std::uint64_t, std::uint64_t, std::size_t>;
+  std::vector<Key> order;
+  for (std::size_t i = 0; i < workers.size(); ++i) {
     const Resources free = workers[i].Usable();
+    if (CountFitting(free, *request.step, used[i]) == 0 ||
+        !IsOpen(workers[i], request))
+      continue;
     // Tasks without accelerators avoid workers that have many free ones.
-    return std::tuple(workers[i].penalty, free.accelerators,
-                      needs_accelerator ? free.cpu : 0, free.memory_mb, i);
-  };
-  std::sort(found.begin(), found.end(),
-            [&](std::size_t a, std::size_t b) { return key(a) < key(b); });
+    order.emplace_back(workers[i].penalty, free.accelerators,
+                       needs_accelerator ? free.cpu : 0, free.memory_mb, i);
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<std::size_t> found;
+  found.reserve(order.size());
+  for (const Key& key : order)
+    found.push_back(std::get<4>(key));
   return found;
 }
 
@@ -72,14 +97,17 @@
   int worst_penalty = 0;
 };
 
-std::map<base::RackId, RackCandidates> GroupByRack(
+// By the number of the rack.
+std::vector<RackCandidates> GroupByRack(
     const std::vector<CandidateWorker>& workers,
     const std::vector<std::uint32_t>& used,
     const PlanRequest& request,
     const std::vector<std::size_t>& feasible) {
-  std::map<base::RackId, RackCandidates> racks;
+  std::vector<RackCandidates> racks;
   for (const std::size_t i : feasible) {
-    RackCandidates& rack = racks[workers[i].rack];
+    if (workers[i].rack_number >= racks.size())
+      racks.resize(workers[i].rack_number + 1);
+    RackCandidates& rack = racks[workers[i].rack_number];
     rack.workers.push_back(i);
     rack.fits += CountFitting(workers[i].Usable(), *request.step, used[i]);
     rack.free_accelerators += workers[i].Usable().accelerators;
@@ -89,14 +117,13 @@
 }
 
 // The rack with the fewest free accelerators that fits the whole request.
-const RackCandidates* BestFitRack(
-    const std::map<base::RackId, RackCandidates>& racks,
-    std::uint32_t count) {
+const RackCandidates* BestFitRack(const std::vector<RackCandidates>& racks,
+                                  std::uint32_t count) {
   const RackCandidates* best = nullptr;
   const auto key = [](const RackCandidates& rack) {
     return std::pair(rack.worst_penalty, rack.free_accelerators);
   };
-  for (const auto& [id, rack] : racks) {
+  for (const RackCandidates& rack : racks) {
     if (rack.fits >= count && (best == nullptr || key(rack) < key(*best)))
       best = &rack;
   }
@@ -106,11 +133,13 @@
 // Feasible workers grouped by rack, those racks first that fit the most tasks,
 // so that a gang that must span racks spans as few as possible.
 std::vector<std::size_t> LargestRacksFirst(
-    const std::map<base::RackId, RackCandidates>& racks) {
+    const std::vector<RackCandidates>& racks) {
   std::vector<const RackCandidates*> order;
   order.reserve(racks.size());
-  for (const auto& [id, rack] : racks)
-    order.push_back(&rack);
+  for (const RackCandidates& rack : racks) {
+    if (!rack.workers.empty())
+      order.push_back(&rack);
+  }
   std::stable_sort(order.begin(), order.end(),
                    [](const RackCandidates* a, const RackCandidates* b) {
                      return std::pair(a->worst_penalty, b->fits) <
@@ -135,14 +164,31 @@
             });
 }
 
-std::vector<std::vector<const Allocation*>> GroupByWorker(
-    const std::vector<CandidateWorker>& workers,
-    const std::vector<Allocation>& allocations) {
-  std::vector<std::vector<const Allocation*>> grouped(workers.size());
-  for (const Allocation& allocation : allocations)
-    grouped[allocation.candidate].push_back(&allocation);
-  return grouped;
-}
+// Allocations by candidate.
+class AllocationsByWorker {
+ public:
+  AllocationsByWorker(std::size_t workers,
+                      const std::vector<Allocation>& allocations)
+      : begins_(workers + 1), sorted_(allocations.size()) {
+    for (const Allocation& allocation : allocations)
+      ++begins_[allocation.candidate + 1];
+    for (std::size_t i = 1; i < begins_.size(); ++i)
+      begins_[i] += begins_[i - 1];
+    std::vector<std::size_t> next(begins_.begin(), begins_.end() - 1);
+    for (const Allocation& allocation : allocations)
+      sorted_[next[allocation.candidate]++] = &allocation;
+  }
+
+  std::span<const Allocation* const> Of(std::size_t worker) const {
+    return {sorted_.data() + begins_[worker],
+            begins_[worker + 1] - begins_[worker]};
+  }
+
+ private:
+  // Of each worker, the index of its first allocation in `sorted_`.
+  std::vector<std::size_t> begins_;
+  std::vector<const Allocation*> sorted_;
+};
 
 bool PrefersRack(const StepSpec& step) {
   return step.rack_local || !step.data_rack.empty();
@@ -150,21 +196,47 @@
 
 }  // namespace
 
+void NumberRacks(std::vector<CandidateWorker>& workers) {
+  std::map<base::RackId, std::size_t> numbers;
+  for (const CandidateWorker& candidate : workers)
+    numbers.emplace(candidate.rack, 0);
+  std::size_t next = 0;
+  for (auto& [id, number] : numbers)
+    number = next++;
+  for (CandidateWorker& candidate : workers)
+    candidate.rack_number = numbers.at(candidate.rack);
+}
+
+std::optional<std::size_t> FindCandidate(
+    const std::vector<CandidateWorker>& workers,
+    const WorkerIncarnation& incarnation) {
+  const auto found = std::lower_bound(
+      workers.begin(), workers.end(), incarnation,
+      [](const CandidateWorker& candidate, const WorkerIncarnation& sought) {
+        return candidate.incarnation < sought;
+      });
+  if (found == workers.end() || found->incarnation != incarnation)
+    return std::nullopt;
+  return static_cast<std::size_t>(found - workers.begin());
+}
+
 std::optional<Reservation> ReserveRack(
     const std::vector<CandidateWorker>& workers,
     const std::vector<Allocation>& allocations,
     const PlanRequest& request) {
-  std::map<base::RackId, std::vector<std::size_t>> racks;
+  std::vector<std::vector<std::size_t>> racks;
   for (std::size_t i = 0; i < workers.size(); ++i) {
-    if (MayReserve(workers[i], request))
-      racks[workers[i].rack].push_back(i);
+    if (!MayReserve(workers[i], request))
+      continue;
+    if (workers[i].rack_number >= racks.size())
+      racks.resize(workers[i].rack_number + 1);
+    racks[workers[i].rack_number].push_back(i);
   }
-  const std::vector<std::vector<const Allocation*>> ends =
-      GroupByWorker(workers, allocations);
+  const AllocationsByWorker ends(workers.size(), allocations);
   std::vector<Resources> space(workers.size());
   std::vector<const Allocation*> order;
   std::optional<Reservation> best;
-  for (const auto& [id, members] : racks) {
+  for (const std::vector<std::size_t>& members : racks) {
     std::uint64_t fits = 0;
     for (const std::size_t i : members) {
       space[i] = workers[i].Usable();
@@ -172,8 +244,10 @@
     }
     order.clear();
     if (fits < request.count) {
-      for (const std::size_t i : members)
-        order.insert(order.end(), ends[i].begin(), ends[i].end());
+      for (const std::size_t i : members) {
+        const auto here = ends.Of(i);
+        order.insert(order.end(), here.begin(), here.end());
+      }
       SortByEnd(order);
     }
     double wait_ms = 0;
@@ -186,7 +260,8 @@
       fits += CountFitting(freed, *request.step, 0);
       wait_ms = allocation->remaining_ms;
     }
-    if (fits >= request.count && (!best || wait_ms < best->wait_ms))
+    if (fits >= request.count && !members.empty() &&
+        (!best || wait_ms < best->wait_ms))
       best = Reservation{.workers = members, .wait_ms = wait_ms};
   }
   return best;
@@ -196,8 +271,8 @@
     const std::vector<CandidateWorker>& workers,
     const std::vector<Allocation>& allocations,
     const PlanRequest& request) {
-  std::vector<std::vector<const Allocation*>> ends =
-      GroupByWorker(workers, allocations);
+  const AllocationsByWorker ends(workers.size(), allocations);
+  std::vector<const Allocation*> order;
   // The time at which each slot for a gang member becomes free, and its worker.
   std::vector<std::pair<double, std::size_t>> slots;
   for (std::size_t i = 0; i < workers.size(); ++i) {
@@ -206,8 +281,10 @@
     Resources space = workers[i].Usable();
     std::uint32_t fits = CountFitting(space, *request.step, 0);
     slots.insert(slots.end(), fits, {0.0, i});
-    SortByEnd(ends[i]);
-    for (const Allocation* allocation : ends[i]) {
+    const auto here = ends.Of(i);
+    order.assign(here.begin(), here.end());
+    SortByEnd(order);
+    for (const Allocation* allocation : order) {
       space += allocation->resources;
       const std::uint32_t more = CountFitting(space, *request.step, 0);
       slots.insert(slots.end(), more - fits, {allocation->remaining_ms, i});
@@ -233,26 +310,22 @@
                       std::uint64_t accelerators) {
   if (accelerators == 0)
     return;
-  struct Rack {
-    std::uint64_t free = 0;
-    std::size_t position = 0;
-  };
-  std::map<base::RackId, Rack> racks;
-  for (const CandidateWorker& candidate : workers)
-    racks[candidate.rack].free += candidate.Usable().accelerators;
-  std::size_t position = 0;
-  for (auto& [id, rack] : racks)
-    rack.position = position++;
-  // Free accelerators of the rack, the rack's position in the map, free
-  // accelerators of the worker, and the worker's index.
+  std::vector<std::uint64_t> free_in_rack;
+  for (const CandidateWorker& candidate : workers) {
+    if (candidate.rack_number >= free_in_rack.size())
+      free_in_rack.resize(candidate.rack_number + 1);
+    free_in_rack[candidate.rack_number] += candidate.Usable().accelerators;
+  }
+  // Free accelerators of the rack, the rack's number, free accelerators of the
+  // worker, and the worker's index.
   using Key =
       std::tuple<std::uint64_t, std::size_t, std::uint64_t, std::size_t>;
   std::vector<Key> order;
   order.reserve(workers.size());
   for (std::size_t i = 0; i < workers.size(); ++i) {
-    const Rack& rack = racks.at(workers[i].rack);
-    order.emplace_back(rack.free, rack.position,
-                       workers[i].Usable().accelerators, i);
+    order.emplace_back(free_in_rack[workers[i].rack_number],
+                       workers[i].rack_number, workers[i].Usable().accelerators,
+                       i);
   }
   std::sort(order.begin(), order.end(), std::greater<>());
   std::uint64_t reserved = 0;
@@ -275,37 +348,113 @@
                     step.required_label) != candidate.labels.end());
 }
 
+std::uint64_t RackCapacity(const std::vector<CandidateWorker>& workers,
+                           const PlanRequest& request) {
+  const StepSpec& step = *request.step;
+  const Resources task = ReservedResources(step);
+  const std::uint64_t most =
+      step.max_per_worker == 0 ? kMaximumTasksPerWorker : step.max_per_worker;
+  std::vector<std::uint64_t> fits;
+  std::uint64_t result = 0;
+  for (const CandidateWorker& candidate : workers) {
+    const bool counts =
+        step.data_rack.empty() || candidate.rack.value() == step.data_rack;
+    if (!counts || !Accepts(candidate, request))
+      continue;
+    if (candidate.rack_number >= fits.size())
+      fits.resize(candidate.rack_number + 1);
+    std::uint64_t& in_rack = fits[candidate.rack_number];
+    in_rack += CountUpTo(most, candidate.capacity, task);
+    result = std::max(result, in_rack);
+  }
+  return result;
+}
+
 std::uint32_t CountFitting(const Resources& space,
                            const StepSpec& step,
                            std::uint32_t used) {
-  const Resources task = ReservedResources(step);
-  std::uint64_t fits =
+  const std::uint64_t most =
       step.max_per_worker == 0
           ? step.count
           : step.max_per_worker - std::min(used, step.max_per_worker);
-  if (task.cpu > 0)
-    fits = std::min(fits, space.cpu / task.cpu);
-  if (task.memory_mb > 0)
-    fits = std::min(fits, space.memory_mb / task.memory_mb);
-  if (task.accelerators > 0)
-    fits = std::min(fits, space.accelerators / task.accelerators);
-  return static_cast<std::uint32_t>(fits);
+  return static_cast<std::uint32_t>(
+      CountUpTo(most, space, ReservedResources(step)));
+}
+
+GangRoom::GangRoom(const std::vector<CandidateWorker>& workers,
+                   const std::vector<std::uint32_t>& used,
+                   const PlanRequest& request,
+                   RackRule rule)
+    : workers_(workers),
+      request_(request),
+      rule_(rule),
+      spaces_(workers.size()) {
+  const std::string& data_rack = request.step->data_rack;
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    const CandidateWorker& candidate = workers[i];
+    if (candidate.rack_number >= fits_in_rack_.size())
+      fits_in_rack_.resize(candidate.rack_number + 1);
+    if (!data_rack.empty() && candidate.rack.value() == data_rack)
+      data_rack_ = candidate.rack_number;
+    spaces_[i] = {.open = IsOpen(candidate, request),
+                  .used = used[i],
+                  .free = candidate.free};
+    Free(i, {});
+  }
+}
+
+void GangRoom::Free(std::size_t worker, const Resources& resources) {
+  Space& space = spaces_[worker];
+  if (!space.open)
+    return;
+  space.free += resources;
+  Resources usable = space.free;
+  usable -= workers_[worker].claimed;
+  const std::uint32_t fits = CountFitting(usable, *request_.step, space.used);
+  std::uint64_t& in_rack = fits_in_rack_[workers_[worker].rack_number];
+  in_rack += fits - space.fits;
+  fits_ += fits - space.fits;
+  most_in_rack_ = std::max(most_in_rack_, in_rack);
+  space.fits = fits;
+}
+
+bool GangRoom::IsEnough() const {
+  const StepSpec& step = *request_.step;
+  if (fits_ < request_.count)
+    return false;
+  if (!step.data_rack.empty()) {
+    if (data_rack_ && fits_in_rack_[*data_rack_] >= request_.count)
+      return true;
+    if (rule_ == RackRule::kOneRack)
+      return false;
+  }
+  return !step.rack_local || rule_ == RackRule::kAnyRack ||
+         most_in_rack_ >= request_.count;
 }
 
 std::optional<Plan> PlanAll(const std::vector<CandidateWorker>& workers,
                             const std::vector<std::uint32_t>& used,
                             const PlanRequest& request,
                             RackRule rule) {
+  if (!GangRoom(workers, used, request, rule).IsEnough())
+    return std::nullopt;
   const std::vector<std::size_t> feasible =
       FeasibleWorkers(workers, used, request);
   const StepSpec& step = *request.step;
-  std::map<base::RackId, RackCandidates> racks =
+  const bool spans = PrefersRack(step);
+  if (!spans)
+    return Plan{.workers = AssignTasks(workers, used, request, feasible)};
+  const std::vector<RackCandidates> racks =
       GroupByRack(workers, used, request, feasible);
   if (!step.data_rack.empty()) {
-    const auto near = racks.find(base::RackId(step.data_rack));
-    if (near != racks.end() && near->second.fits >= request.count)
-      return Plan{
-          .workers = AssignTasks(workers, used, request, near->second.workers)};
+    const auto near =
+        std::find_if(racks.begin(), racks.end(), [&](const auto& rack) {
+          return !rack.workers.empty() &&
+                 workers[rack.workers.front()].rack.value() == step.data_rack;
+        });
+    if (near != racks.end() && near->fits >= request.count)
+      return Plan{.workers =
+                      AssignTasks(workers, used, request, near->workers)};
     if (rule == RackRule::kOneRack)
       return std::nullopt;
   }
@@ -317,12 +466,11 @@
     if (rule == RackRule::kOneRack)
       return std::nullopt;
   }
-  const bool spans = PrefersRack(step);
-  std::vector<std::size_t> assigned = AssignTasks(
-      workers, used, request, spans ? LargestRacksFirst(racks) : feasible);
+  std::vector<std::size_t> assigned =
+      AssignTasks(workers, used, request, LargestRacksFirst(racks));
   if (assigned.size() < request.count)
     return std::nullopt;
-  return Plan{.workers = std::move(assigned), .remote = spans};
+  return Plan{.workers = std::move(assigned), .remote = true};
 }
 
 Plan PlanSome(const std::vector<CandidateWorker>& workers,
--- a/libraries/jobs/planner.h
+++ b/libraries/jobs/planner.h
@@ -17,6 +17,9 @@
   WorkerIncarnation incarnation;
   std::string pool;
   base::RackId rack;
+  // The position of the rack among those of all candidates, in the order of
+  // their ids.
+  std::size_t rack_number = 0;
   std::vector<std::string> labels;
   Resources capacity;
   Resources free;
@@ -42,6 +45,15 @@
   bool operator==(const CandidateWorker&) const = default;
 };
 
+// Sets `rack_number` of all candidates, which the functions below need.
+void NumberRacks(std::vector<CandidateWorker>& workers);
+
+// The index of a worker among the candidates, which are in the order of their
+// incarnations; empty when it is none.
+std::optional<std::size_t> FindCandidate(
+    const std::vector<CandidateWorker>& workers,
+    const WorkerIncarnation& incarnation);
+
 // Tasks of one step that wait for a placement.
 struct PlanRequest {
   const StepSpec* step = nullptr;
@@ -77,6 +89,38 @@
                             const std::vector<std::uint32_t>& used,
                             const PlanRequest& request,
                             RackRule rule);
+// Whether PlanAll would place the request, while resources become free.
+class GangRoom {
+ public:
+  // The arguments are those of PlanAll; `workers` and `request` outlive it.
+  GangRoom(const std::vector<CandidateWorker>& workers,
+           const std::vector<std::uint32_t>& used,
+           const PlanRequest& request,
+           RackRule rule);
+
+  // Resources of a worker become free.
+  void Free(std::size_t worker, const Resources& resources);
+  bool IsEnough() const;
+
+ private:
+  // A worker that may take tasks of the request.
+  struct Space {
+    bool open = false;
+    std::uint32_t used = 0;
+    std::uint32_t fits = 0;
+    Resources free;
+  };
+
+  const std::vector<CandidateWorker>& workers_;
+  const PlanRequest& request_;
+  const RackRule rule_;
+  std::vector<Space> spaces_;
+  std::vector<std::uint64_t> fits_in_rack_;
+  std::uint64_t fits_ = 0;
+  std::uint64_t most_in_rack_ = 0;
+  // The number of the rack with the data; empty when no candidate is there.
+  std::optional<std::size_t> data_rack_;
+};
 
 // Places as many tasks of the request as fit.
 Plan PlanSome(const std::vector<CandidateWorker>& workers,
@@ -127,6 +171,12 @@
 // and capacity match.
 bool Accepts(const CandidateWorker& candidate, const PlanRequest& request);
 
+// How many tasks of the step the racks of the candidates hold when idle: the
+// most that one rack holds, or what the rack with the data holds if the step
+// names one. Not bounded by the number of tasks of the step.
+std::uint64_t RackCapacity(const std::vector<CandidateWorker>& workers,
+                           const PlanRequest& request);
+
 // How many tasks of the step fit into the free resources `space` of a worker
 // that already runs `used` of them.
 std::uint32_t CountFitting(const Resources& space,
--- a/tests/jobs/planner_test.cc
+++ b/tests/jobs/planner_test.cc
@@ -2,8 +2,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
 #include <set>
 
+#include "base/random.h"
+
 namespace wigeonstair::jobs {
 
 namespace {
@@ -24,6 +28,7 @@
                        .capacity = capacity,
                        .free = left});
   }
+  NumberRacks(workers);
   return workers;
 }
 
@@ -33,6 +38,39 @@
           .gang = true};
 }
 
+// Counts room as PlanAll needs it, worker by worker.
+bool FitsAnew(const std::vector<CandidateWorker>& workers,
+              const std::vector<std::uint32_t>& used,
+              const PlanRequest& request,
+              RackRule rule) {
+  const StepSpec& step = *request.step;
+  std::map<base::RackId, std::uint64_t> racks;
+  std::uint64_t all = 0;
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    const CandidateWorker& worker = workers[i];
+    if ((worker.urgent_only && !request.urgent) ||
+        worker.usable_ms < request.work_ms || !Accepts(worker, request))
+      continue;
+    const std::uint64_t fits = CountFitting(worker.Usable(), step, used[i]);
+    racks[worker.rack] += fits;
+    all += fits;
+  }
+  const auto holds = [&](const auto& rack) {
+    return rack.second >= request.count;
+  };
+  if (!step.data_rack.empty()) {
+    if (racks[base::RackId(step.data_rack)] >= request.count)
+      return true;
+    if (rule == RackRule::kOneRack)
+      return false;
+  }
+  if (step.rack_local && std::any_of(racks.begin(), racks.end(), holds))
+    return true;
+  if (step.rack_local && rule == RackRule::kOneRack)
+    return false;
+  return all >= request.count;
+}
+
 }  // namespace
 
 TEST_CASE("a task is placed by best fit, so that whole workers stay free") {
@@ -145,4 +183,57 @@
   CHECK(kept == std::set<std::size_t>{0, 1});
 }
 
+TEST_CASE("room that is counted while victims end equals room counted anew") {
+  base::Random random(7);
+  for (int trial = 0; trial < 300; ++trial) {
+    std::vector<std::uint64_t> free;
+    for (int i = 0; i < 12; ++i)
+      free.push_back(random.Below(5));
+    std::vector<CandidateWorker> workers = CandidateWorkers(free, 3);
+    for (CandidateWorker& worker : workers) {
+      worker.claimed.accelerators = random.Below(3);
+      worker.usable_ms = random.Below(4) == 0 ? 10 : worker.usable_ms;
+      worker.urgent_only = random.Below(4) == 0;
+    }
+    StepSpec step = GangOfSize(static_cast<std::uint32_t>(1 + random.Below(12)),
+                               1 + random.Below(3));
+    step.rack_local = random.Below(2) == 0;
+    step.data_rack = random.Below(3) == 0 ? "r1" : "";
+    step.max_per_worker = static_cast<std::uint32_t>(random.Below(3));
+    const RackRule rule =
+        random.Below(2) == 0 ? RackRule::kOneRack : RackRule::kAnyRack;
+    const PlanRequest request{.step = &step,
+                              .pool = "p",
+                              .count = step.count,
+                              .work_ms = 20,
+                              .urgent = random.Below(2) == 0};
+    std::vector<std::uint32_t> used;
+    for (std::size_t i = 0; i < workers.size(); ++i)
+      used.push_back(static_cast<std::uint32_t>(random.Below(2)));
+    std::vector<CandidateWorker> freed = workers;
+    GangRoom room(workers, used, request, rule);
+    for (int victim = 0; victim < 20; ++victim) {
+      REQUIRE(room.IsEnough() == FitsAnew(freed, used, request, rule));
+      REQUIRE(PlanAll(freed, used, request, rule).has_value() ==
+              room.IsEnough());
+      const std::size_t i = random.Below(workers.size());
+      freed[i].free.accelerators += 1;
+      room.Free(i, {.accelerators = 1});
+    }
+  }
+}
+
+TEST_CASE("the capacity of racks does not depend on the size of the gang") {
+  std::vector<CandidateWorker> workers = CandidateWorkers({0, 0, 0, 0, 0}, 3);
+  StepSpec step = GangOfSize(2, 3);
+  const PlanRequest request{.step = &step, .pool = "p"};
+  CHECK(RackCapacity(workers, request) == 6);
+  step.data_rack = "r1";
+  CHECK(RackCapacity(workers, request) == 4);
+  step.max_per_worker = 1;
+  CHECK(RackCapacity(workers, request) == 2);
+  step.data_rack = "elsewhere";
+  CHECK(RackCapacity(workers, request) == 0);
+}
+
 }  // namespace wigeonstair::jobs
