--- a/tests/jobs/dispatch_simulation.h
+++ b/tests/jobs/dispatch_simulation.h
@@ -25,6 +25,12 @@
   double late_starts = 0;
   // The same for holds.
   double late_holds = 0;
+  // Interval of Dispatcher::Tick.
+  std::uint64_t tick_ms = 10;
+  // Each has the guaranteed accelerators.
+  int customers = 1;
+  // Of each worker.
+  Resources capacity = {.cpu = 64000, .memory_mb = 256000, .accelerators = 8};
 };
 
 // A dispatcher, its store and a fake fleet on one logical clock. A call takes 1
@@ -56,6 +62,8 @@
   // Time from the acceptance of the job to its end, in milliseconds.
   std::uint64_t DurationMs(const std::string& id) const;
   const std::map<std::string, int>& decisions() const { return decisions_; }
+  // A digest of all decisions so far, in their order.
+  std::size_t decision_digest() const { return decision_digest_; }
   // No more answers are lost and no more calls late.
   void EndFaults();
   // Whether a proposal is lost and fails.
@@ -93,9 +101,13 @@
   std::vector<OpenHold> holds_;
   std::uint64_t next_heartbeat_ms_ = 0;
   std::map<std::string, int> decisions_;
+  std::size_t decision_digest_ = 0;
   std::vector<base::Duration> tick_times_;
 };
 
+// The ids of the customers: "c", "c1", "c2" and so on.
+std::string NameOfCustomer(int number);
+
 // A step of identical tasks.
 StepSpec Step(std::uint32_t count,
               std::uint64_t accelerators,
