--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -89,8 +89,7 @@
 
   std::vector<Action> TakeActions();
   std::vector<Decision> TakeDecisions();
-  // The number of rows in lists of workers that no sound worker lists, since
-  // the last call.
+  // Number of rows that no sound worker lists, since the last call.
   std::size_t TakeForeignRows() { return std::exchange(foreign_rows_, 0); }
 
   // Returns empty when a job submitted now is admitted. When it would end only
@@ -341,7 +340,7 @@
                       base::Duration input_age = {});
   Worker* FindWorker(const WorkerIncarnation& incarnation);
   const Worker* FindWorker(const WorkerIncarnation& incarnation) const;
-  // Keep `runs_by_worker_` in step with `runs_`.
+  // Keep `runs_by_worker_` in step.
   void IndexRun(const RunKey& key, const Run& run);
   void UnindexRun(const RunKey& key, const Run& run);
   void SyncWorkers(const Now& now);
@@ -367,8 +366,7 @@
                                           RunPhase phase,
                                           const CallAnswer& answer,
                                           const Now& now);
-  // The only way into `runs_`. Returns null, and adds nothing, when the task
-  // does not exist.
+  // The only way into `runs_`. Adds nothing when the task does not exist.
   Run* AddRun(const Placement& placement, const Now& now);
   void EraseRun(std::map<RunKey, Run>::iterator run);
   // The incarnation that followed the one of a run under the same id; null when
@@ -445,20 +443,15 @@
   void SendDueHolds(const Now& now);
   bool HasStartedRuns(const WorkerIncarnation& worker) const;
   void SendHold(Worker& worker, std::uint32_t wait_ms, const Now& now);
-  // The lists without the rows that no sound worker lists. What was removed is
-  // added to `malformed_rows`: such a row may be the damaged one of a run.
+  // Removes the rows that no sound worker lists and counts them as malformed.
   HoldAnswer::Lists RemoveForeignRows(const Worker& worker,
                                       const HoldAnswer::Lists& lists,
                                       const Now& now);
-  // Whether the attempt was placed, or is watched for another reason.
   bool Exists(const RunKey& run) const;
-  // Stops a run of a job that is not known any more, which nothing else ends.
-  void StopUnknownRun(const Worker& worker, const RunKey& run);
   void ProcessEnds(Worker& worker,
                    const HoldAnswer::Lists& lists,
                    const Now& now);
   // Adds a run that a worker lists but that the dispatcher does not expect.
-  // Returns null when the task does not exist.
   Run* AddUnexpectedRun(const RunKey& key,
                         const WorkerIncarnation& worker,
                         const Now& now);
--- a/libraries/jobs/dispatcher_lists.cc
+++ b/libraries/jobs/dispatcher_lists.cc
@@ -154,6 +154,7 @@
   ProcessEnds(*worker, lists, now);
 }
 
+// Whether the attempt was placed, or is watched for another reason.
 bool Dispatcher::Exists(const RunKey& run) const {
   return runs_.contains(run) || store_.WasPlaced(run);
 }
@@ -169,12 +170,18 @@
     foreign.push_back(entry.run);
     return true;
   });
+  // Nothing else ends a run of a job that is not known any more.
   int stops = 0;
   for (const RunKey& run : foreign) {
-    if (store_.FindJob(run.task.job) == nullptr &&
-        ++stops <= kMaximumUnknownStops) {
-      StopUnknownRun(worker, run);
-    }
+    if (store_.FindJob(run.task.job) != nullptr)
+      continue;
+    if (++stops > kMaximumUnknownStops)
+      break;
+    actions_.emplace_back(StopAction{.run = run,
+                                     .worker = worker.description.incarnation,
+                                     .address = worker.description.address,
+                                     .term = term_,
+                                     .fencing_token = worker.fencing_token});
   }
   std::set<RunKey> running;
   if (!sound.ended.empty()) {
@@ -201,14 +208,6 @@
   return sound;
 }
 
-void Dispatcher::StopUnknownRun(const Worker& worker, const RunKey& run) {
-  actions_.emplace_back(StopAction{.run = run,
-                                   .worker = worker.description.incarnation,
-                                   .address = worker.description.address,
-                                   .term = term_,
-                                   .fencing_token = worker.fencing_token});
-}
-
 // The next check stops the run.
 Dispatcher::Run* Dispatcher::AddUnexpectedRun(const RunKey& key,
                                               const WorkerIncarnation& worker,
