Let the scarcest resource decide whether work can be in time

Load: tasks of 13 cores with 1 to 8 accelerators on workers of 32 cores, and tasks of 140 GB on workers of 256 GB. Cause: whether the fleet is busy, the backlog of the admission and the reserve for urgent jobs counted accelerators only, so 2,200 tasks waited while six in eight accelerators counted as free, and the reserve held accelerators beside which no core was left.

Change: DominantShare over processors, memory and accelerators decides all three; the reserve counts a worker by what it runs out of first; the backlog is that of the pool of the job. Where accelerators bind nothing changes. Best fit still orders by free accelerators.

The two records in dispatcher_load_test name their pool now, as those of the product do.

--- a/libraries/jobs/dispatcher.cc
+++ b/libraries/jobs/dispatcher.cc
@@ -46,7 +46,7 @@
   runs_.clear();
   runs_by_worker_.clear();
   accounts_.Clear();
-  urgent_in_use_ = 0;
+  urgent_in_use_ = {};
   lost_attempts_.clear();
   open_jobs_.Clear();
   candidates_.clear();
@@ -133,7 +133,7 @@
   of_worker.in_use += run.resources;
   accounts_.Add(run.customer, run.cap_demand);
   if (run.priority == 0)
-    urgent_in_use_ += run.resources.accelerators;
+    urgent_in_use_ += run.resources;
 }
 
 void Dispatcher::UnindexRun(const RunKey& key, const Run& run) {
@@ -145,7 +145,7 @@
     of_worker->second.in_use -= run.resources;
     accounts_.Remove(run.customer, run.cap_demand);
     if (run.priority == 0)
-      urgent_in_use_ -= run.resources.accelerators;
+      urgent_in_use_ -= run.resources;
   }
   if (of_worker->second.runs.empty())
     runs_by_worker_.erase(of_worker);
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -23,6 +23,7 @@
 #include "jobs/open_job_index.h"
 #include "jobs/placement_history.h"
 #include "jobs/planner.h"
+#include "jobs/resource_share.h"
 #include "jobs/run_existence.h"
 #include "jobs/run_times.h"
 
@@ -333,9 +334,9 @@
   // The state of one placement round.
   struct Round {
     std::vector<CandidateWorker> workers;
-    // Accelerators of the workers.
-    std::uint64_t capacity = 0;
-    std::uint64_t free = 0;
+    // Of all workers.
+    Resources capacity;
+    Resources free;
     std::vector<Placement> placements;
     // By shape, the smallest number of tasks of a step that did not fit in this
     // round.
@@ -533,10 +534,8 @@
                      const Run& run,
                      const Now& now) const;
   void UpdateUrgentDemand(const std::vector<ReadyStep*>& ready, const Now& now);
-  // Number of accelerators to keep free for expected urgent jobs.
-  std::uint64_t UrgentReserve(const Round& round) const;
-  // Whether more than half of the accelerators are in use.
-  static bool IsBusy(std::uint64_t capacity, std::uint64_t free);
+  // What to keep free for expected urgent jobs.
+  Resources UrgentReserve(const Round& round) const;
   void Reserve(const ReadyStep& ready,
                const std::vector<Allocation>& allocations,
                std::vector<CandidateWorker>& workers) const;
@@ -594,7 +593,9 @@
   RackRule RackRuleFor(const ReadyStep& ready,
                        Round& round,
                        const Now& now) const;
-  double BacklogMs(std::uint32_t priority, const Now& now) const;
+  ResourceAmounts BacklogMs(std::uint32_t priority,
+                            const std::string& pool,
+                            const Now& now) const;
   double ExpectedTaskMs(const JobRecord& job, std::uint32_t step) const;
   double CriticalPathMs(const std::string& queue, const JobSpec& spec) const;
 
@@ -644,11 +645,11 @@
   std::uint64_t candidates_revision_ = 0;
   // Earliest time of the next placement round.
   base::Instant next_placement_at_{};
-  // The accelerators that runs of priority 0 hold.
-  std::uint64_t urgent_in_use_ = 0;
-  // Current demand of urgent jobs and its decaying peak, in accelerators.
-  double urgent_demand_ = 0;
-  double urgent_peak_ = 0;
+  // What runs of priority 0 hold.
+  Resources urgent_in_use_;
+  // Current demand of urgent jobs and its decaying peak.
+  ResourceAmounts urgent_demand_;
+  ResourceAmounts urgent_peak_;
   base::Instant urgent_peak_at_{};
   std::vector<Action> actions_;
   std::vector<Decision> decisions_;
--- a/libraries/jobs/dispatcher_admission.cc
+++ b/libraries/jobs/dispatcher_admission.cc
@@ -10,7 +10,8 @@
 
 namespace {
 
-// Achievable share of accelerators in use; gangs leave some of them idle.
+// Achievable share of the scarcest resource in use; gangs leave some of it
+// idle.
 constexpr double kMaximumUtilization = 0.8;
 // Bounds of the time after which a refused caller may retry, before jitter.
 constexpr base::Duration kMinimumRetryAfter = std::chrono::seconds(1);
@@ -61,10 +62,12 @@
   return std::max(kMinimumRemainingMs, whole - ran.count());
 }
 
-// Remaining work of open jobs of this or a more urgent priority, in
-// accelerator-milliseconds.
-double Dispatcher::BacklogMs(std::uint32_t priority, const Now& now) const {
-  double backlog = 0;
+// Remaining work of the open jobs of a pool with this or a more urgent
+// priority: resources times milliseconds.
+ResourceAmounts Dispatcher::BacklogMs(std::uint32_t priority,
+                                      const std::string& pool,
+                                      const Now& now) const {
+  ResourceAmounts backlog;
   const RunKey* last = nullptr;
   const JobRecord* holder = nullptr;
   for (const auto& [key, run] : runs_) {
@@ -74,17 +77,18 @@
     if (last == nullptr || last->task.job != key.task.job)
       holder = store_.FindJob(key.task.job);
     last = &key;
-    backlog += static_cast<double>(run.resources.accelerators) *
-               RemainingMs(holder, key, run, now);
+    if (holder == nullptr || holder->pool == pool) {
+      backlog = backlog +
+                RemainingMs(holder, key, run, now) * AmountsOf(run.resources);
+    }
   }
-  open_jobs_.VisitUnplaced(
-      [&](const JobRecord& job, std::uint32_t step, std::uint32_t tasks) {
-        if (job.policy.priority > priority || tasks == 0)
-          return;
-        backlog += static_cast<double>(tasks) *
-                   static_cast<double>(job.spec.steps[step].task.accelerators) *
-                   ExpectedTaskMs(job, step);
-      });
+  open_jobs_.VisitUnplaced([&](const JobRecord& job, std::uint32_t step,
+                               std::uint32_t tasks) {
+    if (job.policy.priority > priority || job.pool != pool || tasks == 0)
+      return;
+    backlog = backlog + static_cast<double>(tasks) * ExpectedTaskMs(job, step) *
+                            AmountsOf(ReservedResources(job.spec.steps[step]));
+  });
   return backlog;
 }
 
@@ -99,19 +103,21 @@
   if (job.spec.repeat_count > 0 || policy.priority == 0)
     return std::nullopt;
   UpdateCandidates(now);
-  std::uint64_t capacity = 0;
-  std::uint64_t free = 0;
+  Resources capacity;
+  Resources free;
   for (const CandidateWorker& candidate : candidates_) {
-    capacity += candidate.capacity.accelerators;
-    free += candidate.free.accelerators;
+    if (candidate.pool != job.pool)
+      continue;
+    capacity += candidate.capacity;
+    free += candidate.free;
   }
-  if (capacity == 0 || !IsBusy(capacity, free))
+  if (!IsBusy(capacity, free))
     return std::nullopt;
   RefreshOpenJobs(now);
   const double critical_path = CriticalPathMs(queue, job.spec);
   const double end_ms =
-      critical_path + BacklogMs(policy.priority, now) /
-                          (kMaximumUtilization * static_cast<double>(capacity));
+      critical_path + DominantShare(BacklogMs(policy.priority, job.pool, now),
+                                    kMaximumUtilization * AmountsOf(capacity));
   const double zero_value_ms =
       kZeroValueFactor *
       (policy.stretch * critical_path + policy.completion_target_ms);
--- a/libraries/jobs/dispatcher_explain.cc
+++ b/libraries/jobs/dispatcher_explain.cc
@@ -173,10 +173,10 @@
   if (kept != candidates_)
     return "candidates";
   std::map<WorkerIncarnation, Resources> in_use;
-  std::uint64_t urgent = 0;
+  Resources urgent;
   for (auto& [key, run] : runs_) {
     in_use[run.worker] += run.resources;
-    urgent += run.priority == 0 ? run.resources.accelerators : 0;
+    urgent += run.priority == 0 ? run.resources : Resources{};
     if (WorkerOf(run) != FindWorker(run.worker))
       return "workers of runs";
   }
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -63,8 +63,8 @@
   UpdateCandidates(now);
   Round round{.workers = std::move(candidates_)};
   for (const CandidateWorker& candidate : round.workers) {
-    round.capacity += candidate.capacity.accelerators;
-    round.free += candidate.free.accelerators;
+    round.capacity += candidate.capacity;
+    round.free += candidate.free;
   }
   round.rack_capacity.resize(open_jobs_.shapes().size());
   return round;
@@ -347,9 +347,9 @@
     if (run == nullptr)
       continue;
     run->remote = plan.remote;
-    round.free -= candidate.free.accelerators;
+    round.free -= candidate.free;
     candidate.free -= run->resources;
-    round.free += candidate.free.accelerators;
+    round.free += candidate.free;
     round.placements.push_back(placement);
   }
 }
--- a/libraries/jobs/dispatcher_reserve.cc
+++ b/libraries/jobs/dispatcher_reserve.cc
@@ -12,12 +12,8 @@
 
 // Half-life of the peak of urgent demand after a burst.
 constexpr double kReserveHalfLifeMs = 6000;
-// Maximum share of all accelerators that is reserved for urgent jobs.
+// Maximum share of any resource that is reserved for urgent jobs.
 constexpr double kMaximumReserveShare = 0.25;
-// Reservations for urgent jobs and waiting gangs are made only while more than
-// this share of the accelerators is in use. Below it, no task that could run
-// has to wait.
-constexpr double kBusyShare = 0.5;
 
 }  // namespace
 
@@ -45,33 +41,31 @@
 // exponentially.
 void Dispatcher::UpdateUrgentDemand(const std::vector<ReadyStep*>& ready,
                                     const Now& now) {
-  urgent_demand_ = static_cast<double>(urgent_in_use_);
+  urgent_demand_ = AmountsOf(urgent_in_use_);
   for (const ReadyStep* entry : ready) {
     if (entry->job->policy.priority == 0) {
-      urgent_demand_ +=
-          static_cast<double>(entry->allowed * entry->spec->task.accelerators);
+      urgent_demand_ =
+          urgent_demand_ + static_cast<double>(entry->allowed) *
+                               AmountsOf(ReservedResources(*entry->spec));
     }
   }
   const std::chrono::duration<double, std::milli> passed =
       now.instant - urgent_peak_at_;
   urgent_peak_ =
-      std::max(urgent_demand_,
-               urgent_peak_ * std::exp2(-passed.count() / kReserveHalfLifeMs));
+      Larger(urgent_demand_,
+             std::exp2(-passed.count() / kReserveHalfLifeMs) * urgent_peak_);
   urgent_peak_at_ = now.instant;
 }
 
-std::uint64_t Dispatcher::UrgentReserve(const Round& round) const {
+Resources Dispatcher::UrgentReserve(const Round& round) const {
   if (!IsBusy(round.capacity, round.free))
-    return 0;
-  const double reserve =
-      std::min(urgent_peak_ - urgent_demand_,
-               kMaximumReserveShare * static_cast<double>(round.capacity));
-  return static_cast<std::uint64_t>(std::max(reserve, 0.0));
-}
-
-bool Dispatcher::IsBusy(std::uint64_t capacity, std::uint64_t free) {
-  return static_cast<double>(capacity - free) >
-         kBusyShare * static_cast<double>(capacity);
+    return {};
+  const ResourceAmounts expected =
+      Larger(urgent_peak_ - urgent_demand_, ResourceAmounts{});
+  const double share = DominantShare(expected, AmountsOf(round.capacity));
+  if (share == 0)
+    return {};
+  return WholeResources(std::min(1.0, kMaximumReserveShare / share) * expected);
 }
 
 // Reserves workers for a gang that does not fit, so that shorter or less urgent
--- a/libraries/jobs/planner.cc
+++ b/libraries/jobs/planner.cc
@@ -9,6 +9,8 @@
 #include <tuple>
 #include <utility>
 
+#include "jobs/resource_share.h"
+
 namespace wigeonstair::jobs {
 
 namespace {
@@ -16,15 +18,6 @@
 // Above the number of tasks of any step.
 constexpr std::uint64_t kMaximumTasksPerWorker = std::uint64_t{1} << 20;
 
-Resources ReservedResources(const StepSpec& step) {
-  Resources task = step.task;
-  // Tasks with `fills` use leftover processor time, so none is reserved for
-  // them.
-  if (step.fills)
-    task.cpu = 0;
-  return task;
-}
-
 // The number of tasks that fit into `space`, up to `most`.
 std::uint64_t CountUpTo(std::uint64_t most,
                         const Resources& space,
@@ -306,9 +299,23 @@
   return reservation;
 }
 
+bool IsBusy(const Resources& capacity, const Resources& free) {
+  constexpr double kBusyShare = 0.5;
+  Resources in_use = capacity;
+  in_use -= free;
+  return DominantShare(in_use, capacity) > kBusyShare;
+}
+
+Resources ReservedResources(const StepSpec& step) {
+  Resources task = step.task;
+  if (step.fills)
+    task.cpu = 0;
+  return task;
+}
+
 void ReserveForUrgent(std::vector<CandidateWorker>& workers,
-                      std::uint64_t accelerators) {
-  if (accelerators == 0)
+                      const Resources& reserve) {
+  if (reserve == Resources{})
     return;
   std::vector<std::uint64_t> free_in_rack;
   for (const CandidateWorker& candidate : workers) {
@@ -328,14 +335,17 @@
                        i);
   }
   std::sort(order.begin(), order.end(), std::greater<>());
-  std::uint64_t reserved = 0;
+  // Rounding must not take one worker more than the reserve needs.
+  constexpr double kWhole = 1 - 1e-9;
+  double reserved = 0;
   for (const auto& [in_rack, rank, free, i] : order) {
-    if (reserved >= accelerators)
+    if (reserved >= kWhole)
       return;
-    if (workers[i].penalty > 0 || free == 0)
+    const double part = TimesContained(reserve, workers[i].Usable());
+    if (workers[i].penalty > 0 || part == 0)
       continue;
     workers[i].urgent_only = true;
-    reserved += free;
+    reserved += part;
   }
 }
 
--- a/libraries/jobs/planner.h
+++ b/libraries/jobs/planner.h
@@ -159,13 +159,24 @@
     const std::vector<Allocation>& allocations,
     const PlanRequest& request);
 
-// Marks workers with at least `accelerators` free ones in total as
-// `urgent_only`. Takes those with the most free accelerators, in as few racks
+// Whether more than half of the scarcest resource is in use. Below that no task
+// that could run has to wait, so nothing is reserved and no job refused.
+// Load pattern: tasks that take the processors or the memory of workers which
+// have most of their accelerators free.
+bool IsBusy(const Resources& capacity, const Resources& free);
+
+// What a task of the step takes of a worker. Tasks with `fills` use leftover
+// processor time, so none is reserved for them.
+Resources ReservedResources(const StepSpec& step);
+
+// Marks workers as `urgent_only` until their free resources hold `reserve`. A
+// worker counts by the resource of the reserve that it runs out of first. Takes
+// those with the most free accelerators, in as few racks
 // as possible.
 // Load pattern: bursts of short urgent gangs, for which longer work had to be
 // stopped.
 void ReserveForUrgent(std::vector<CandidateWorker>& workers,
-                      std::uint64_t accelerators);
+                      const Resources& reserve);
 
 // Whether the worker, when idle, could run a task of the request: pool, label
 // and capacity match.
--- a/services/scheduler/call_service.cc
+++ b/services/scheduler/call_service.cc
@@ -42,7 +42,7 @@
 // again.
 std::optional<jobs::Reply> FindRefusal(const jobs::JobRecord& job,
                                        const jobs::JobStore& store,
-                                       const jobs::Dispatcher& dispatcher,
+                                       jobs::Dispatcher& dispatcher,
                                        const jobs::Now& now) {
   const auto refuse = [](base::Duration retry_after, std::string reason) {
     const auto wait =
--- a/tests/jobs/dispatcher_load_test.cc
+++ b/tests/jobs/dispatcher_load_test.cc
@@ -242,6 +242,7 @@
   DispatchSimulation simulation({});
   const auto refusal = [&](std::uint32_t priority, const std::string& id) {
     const JobRecord job{.id = base::JobId(id),
+                        .pool = "p",
                         .spec = {.steps = {Gang(2, 8, 2000)}}};
     const QueuePolicy policy{
         .priority = priority, .stretch = 3, .completion_target_ms = 1000};
@@ -268,6 +269,7 @@
   simulation.Submit("l", {Step(40, 1, 60'000)}, 1);
   simulation.RunFor(500);
   const JobRecord job{.id = base::JobId("a"),
+                      .pool = "p",
                       .spec = {.steps = {Gang(2, 8, 2000)}}};
   CHECK_FALSE(simulation.dispatcher().CheckAdmission(
       {.priority = 2, .stretch = 1}, "q", job, simulation.Time()));
--- a/tests/jobs/planner_test.cc
+++ b/tests/jobs/planner_test.cc
@@ -174,7 +174,7 @@
 
 TEST_CASE("the urgent reserve consists of whole workers in few racks") {
   auto workers = CandidateWorkers({8, 8, 2, 8, 1, 0}, 2);
-  ReserveForUrgent(workers, 12);
+  ReserveForUrgent(workers, {.accelerators = 12});
   std::set<std::size_t> kept;
   for (std::size_t i = 0; i < workers.size(); ++i) {
     if (workers[i].urgent_only)
