Give each test process ports that no other process takes

Cause: LocalGroup asked for a free port, gave it back and listened on it later; tests of refused connections called a closed port of 127.0.0.1.

--- a/tests/consensus/local_group.cc
+++ b/tests/consensus/local_group.cc
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "consensus/codec.h"
+#include "tests/own_ip.h"
 
 namespace wigeonstair::consensus {
 
@@ -40,18 +41,6 @@
       std::make_shared<std::promise<T>>();
 };
 
-// The ports stay the same over restarts of a host.
-net::Address FreeAddress() {
-  net::EventLoop loop;
-  const auto server = Require(base::Capture([&] {
-    return net::MessageServer::create(
-        loop, {.address = {.ip = "127.0.0.1", .port = 0},
-               .cluster = kCluster,
-               .handler = [](auto, auto, const auto&) {}});
-  }));
-  return server->address();
-}
-
 }  // namespace
 
 TemporaryFolder::TemporaryFolder() {
@@ -118,7 +107,8 @@
   for (int i = 0; i < voters + learners; ++i) {
     members_.push_back(
         {.host = base::HostId("host-" + std::to_string(i)),
-         .address = FreeAddress().ToString(),
+         .address =
+             net::Address{.ip = OwnIp(), .port = NextOwnPort()}.ToString(),
          .role = i < voters ? MemberRole::kVoter : MemberRole::kLearner});
   }
   hosts_.resize(members_.size());
--- a/tests/net/raw_server.cc
+++ b/tests/net/raw_server.cc
@@ -13,6 +13,8 @@
 #include <utility>
 #include <vector>
 
+#include "tests/own_ip.h"
+
 namespace wigeonstair::net {
 
 namespace {
@@ -52,7 +54,7 @@
   listener_ = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in name{};
   name.sin_family = AF_INET;
-  name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  inet_pton(AF_INET, OwnIp().c_str(), &name.sin_addr);
   std::ignore =
       ::bind(listener_, reinterpret_cast<sockaddr*>(&name), sizeof(name));
   listen(listener_, 16);
@@ -84,7 +86,7 @@
 }
 
 std::string RawServer::address() const {
-  return "127.0.0.1:" + std::to_string(port_);
+  return OwnIp() + ":" + std::to_string(port_);
 }
 
 void RawServer::Serve() {
