Learn how long tasks run from the runs that end

Declared run times are off by half and more, and the moving mean of a queue knows neither customer, shape nor worker and is lost with each leader.

RunTimeModel keeps faded histograms of run time and of run time over declared time by queue, shape and customer, with censored samples, and WorkerSpeeds the speed of each worker. WIGEONSTAIR_RUN_TIMES=learned turns it on; the default stays the queue's mean, for which nothing changes and no samples are written.

jobs_test: the cases of the model, the summary and the store pass.

--- a/fuzz/write_corpus.cc
+++ b/fuzz/write_corpus.cc
@@ -340,6 +340,9 @@
   corpus.Add("job_command", "place", 0,
              jobs::EncodeCommand(jobs::PlaceTasks{
                  .term = 1, .placements = {{.task = task, .attempt = 1}}}));
+  corpus.Add("job_command", "run_times", 0,
+             jobs::EncodeCommand(jobs::RecordRunTimes{
+                 .samples = {{.key = {.queue = "q"}, .run_ms = 9}}}));
   corpus.Add("job_command", "call", 1,
              jobs::EncodeCall(jobs::SubmitCall{.spec = job.spec}));
   corpus.Add("job_command", "envelope", 2,
--- a/libraries/jobs/command.h
+++ b/libraries/jobs/command.h
@@ -9,6 +9,7 @@
 
 #include "base/result.h"
 #include "jobs/job_record.h"
+#include "jobs/run_time_model.h"
 
 namespace wigeonstair::jobs {
 
@@ -189,6 +190,17 @@
   }
 };
 
+// Runs that ended, at a bounded rate. A lost command costs its samples. No
+// rule rests on them: they change only what is expected of later runs.
+struct RecordRunTimes {
+  std::vector<RunTimeSample> samples;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT: cereal's name.
+    archive(samples);
+  }
+};
+
 // The order is part of the format of the log.
 using Command = std::variant<PutConfiguration,
                              SetDomainService,
@@ -201,7 +213,8 @@
                              RemoveWorker,
                              ForgetJobs,
                              DeregisterWorker,
-                             ConfirmStarts>;
+                             ConfirmStarts,
+                             RecordRunTimes>;
 
 // The result of applying a command.
 enum class CommandReply : std::uint8_t {
--- a/libraries/jobs/dispatcher.cc
+++ b/libraries/jobs/dispatcher.cc
@@ -45,6 +45,7 @@
   pending_.clear();
   claims_.clear();
   confirmed_starts_.clear();
+  run_time_summary_.Clear();
   actions_.clear();
 }
 
@@ -314,6 +315,7 @@
   AdvanceRuns(now);
   RetryReturns(now);
   ProposeConfirmedStarts(now);
+  ProposeRunTimes(now);
   PlaceRound(now);
   SendDueHolds(now);
 }
--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -18,6 +18,7 @@
 #include "jobs/actions.h"
 #include "jobs/api.h"
 #include "jobs/decision.h"
+#include "jobs/dispatcher_options.h"
 #include "jobs/job_store.h"
 #include "jobs/placement_history.h"
 #include "jobs/planner.h"
@@ -30,20 +31,6 @@
 // it.
 inline constexpr double kZeroValueFactor = 3;
 
-struct DispatcherOptions {
-  // The longest lease that a worker accepts.
-  base::Duration longest_lease = std::chrono::seconds(6);
-  // All members of a gang must start within this time of the first one.
-  base::Duration gang_wait = std::chrono::seconds(3);
-  // Slowdown of tasks that run outside their rack.
-  double remote_factor = 3;
-  // How long before the due time of its occurrence a task may be placed and
-  // started.
-  base::Duration early_start = std::chrono::milliseconds(100);
-  // Interval of the heartbeats of a worker.
-  base::Duration heartbeat = std::chrono::milliseconds(1500);
-};
-
 // Places, starts, stops and supervises tasks while this host leads the group.
 // Performs no I/O: the owner passes in events with the current time and
 // executes the actions in order. A start is sent only after its placement is
@@ -532,8 +519,20 @@
                        const std::vector<CandidateWorker>& workers,
                        const Now& now) const;
   double BacklogMs(std::uint32_t priority, const Now& now) const;
+
+  // dispatcher_run_times.cc
+  RunTimeExpectation Expect(const std::string& queue,
+                            const base::CustomerId& customer,
+                            const StepSpec& step) const;
   double ExpectedTaskMs(const JobRecord& job, std::uint32_t step) const;
-  double CriticalPathMs(const std::string& queue, const JobSpec& spec) const;
+  double CriticalPathMs(const std::string& queue,
+                        const JobSpec& spec,
+                        const base::CustomerId& customer) const;
+  void LearnFrom(const ListedEnd& end,
+                 const Run& run,
+                 const JobRecord& job,
+                 const Now& now);
+  void ProposeRunTimes(const Now& now);
 
   const JobStore& store_;
   const DispatcherOptions options_;
@@ -563,7 +562,9 @@
   std::vector<RunKey> uncommitted_returns_;
   base::Instant next_return_at_{};
   std::uint64_t last_proposal_ = 0;
-  RunTimes run_times_;
+  QueueMeans queue_means_;
+  mutable ExpectationCache expectations_;
+  RunTimeSummary run_time_summary_;
   std::size_t waiting_tasks_ = 0;
   std::map<std::string_view, std::size_t> waiting_steps_;
   std::map<std::string_view, std::size_t> unused_workers_;
--- a/libraries/jobs/dispatcher_admission.cc
+++ b/libraries/jobs/dispatcher_admission.cc
@@ -19,27 +19,6 @@
 
 }  // namespace
 
-double Dispatcher::ExpectedTaskMs(const JobRecord& job,
-                                  std::uint32_t step) const {
-  return run_times_.ExpectedMs(job.queue, job.spec.steps[step].estimate_ms);
-}
-
-// The expected duration of the longest chain of dependent steps.
-double Dispatcher::CriticalPathMs(const std::string& queue,
-                                  const JobSpec& spec) const {
-  std::vector<double> finish_ms(spec.steps.size());
-  double longest = 0;
-  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
-    double begin = 0;
-    for (const std::uint32_t earlier : spec.steps[i].depends_on)
-      begin = std::max(begin, finish_ms[earlier]);
-    finish_ms[i] =
-        begin + run_times_.ExpectedMs(queue, spec.steps[i].estimate_ms);
-    longest = std::max(longest, finish_ms[i]);
-  }
-  return longest;
-}
-
 double Dispatcher::RemainingMs(const RunKey& key,
                                const Run& run,
                                const Now& now) const {
@@ -104,7 +83,7 @@
       policy.priority == 0) {
     return std::nullopt;
   }
-  const double critical_path = CriticalPathMs(queue, job.spec);
+  const double critical_path = CriticalPathMs(queue, job.spec, job.customer);
   const double end_ms =
       critical_path + BacklogMs(policy.priority, now) /
                           (kMaximumUtilization * static_cast<double>(capacity));
--- a/libraries/jobs/dispatcher_health.cc
+++ b/libraries/jobs/dispatcher_health.cc
@@ -16,9 +16,6 @@
 // A run without progress for this time is considered hanging. Lists arrive at
 // least every 1.5 s.
 constexpr base::Duration kHangTimeout = std::chrono::milliseconds(3200);
-// Progress is listed in whole percents. A healthy run may take this many times
-// its expected run time.
-constexpr double kSlowestHealthyRun = 3;
 // Minimum time between two samples of `percent`.
 constexpr base::Duration kSampleInterval = std::chrono::milliseconds(1000);
 // Progress of a healthy run from which its speed is computed. With less, the
@@ -119,9 +116,10 @@
       job->spec.steps[key.task.step].long_running) {
     return std::nullopt;
   }
+  const RunTimeExpectation expected =
+      Expect(job->queue, job->customer, job->spec.steps[key.task.step]);
   const auto longest_percent = std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double, std::milli>(
-          kSlowestHealthyRun * ExpectedTaskMs(*job, key.task.step) / 100));
+      std::chrono::duration<double, std::milli>(expected.high_ms / 100));
   if (now.instant - run.progress_at > std::max(kHangTimeout, longest_percent))
     return "hangs";
   // The members of a gang progress at the same speed.
--- a/libraries/jobs/dispatcher_lists.cc
+++ b/libraries/jobs/dispatcher_lists.cc
@@ -261,11 +261,15 @@
       ++worker.failures >= kFailureThreshold) {
     worker.avoid_until = now.instant + kFailurePause;
   }
+  const auto found = runs_.find(end.run);
+  const JobRecord* job = store_.FindJob(end.run.task.job);
+  if (found != runs_.end() && job != nullptr &&
+      end.run.task.step < job->spec.steps.size()) {
+    LearnFrom(end, found->second, *job, now);
+  }
   if (end.outcome != ListedOutcome::kDone)
     return;
   worker.failures = 0;
-  const auto found = runs_.find(end.run);
-  const JobRecord* job = store_.FindJob(end.run.task.job);
   if (found == runs_.end() || job == nullptr || !found->second.running_since ||
       found->second.remote || found->second.starts.sent != 1) {
     return;
@@ -277,8 +281,8 @@
     return;
   const std::chrono::duration<double, std::milli> took =
       now.instant - *found->second.running_since;
-  run_times_.Record(job->queue, took.count(),
-                    job->spec.steps[end.run.task.step].estimate_ms);
+  queue_means_.Record(job->queue, took.count(),
+                      job->spec.steps[end.run.task.step].estimate_ms);
 }
 
 void Dispatcher::RemoveEndedWorker(Worker& worker, const Now& now) {
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -48,7 +48,8 @@
   ReadySteps ready;
   for (const base::JobId& id : store_.open_jobs()) {
     const JobRecord& job = *store_.FindJob(id);
-    const double critical_path = CriticalPathMs(job.queue, job.spec);
+    const double critical_path =
+        CriticalPathMs(job.queue, job.spec, job.customer);
     for (std::uint32_t k = 0; k < job.spec.occurrences(); ++k) {
       const std::uint64_t due = job.DueMs(k);
       if (due > now.wall_ms + static_cast<std::uint64_t>(early_ms.count()))
--- a/libraries/jobs/job_store.cc
+++ b/libraries/jobs/job_store.cc
@@ -1,7 +1,7 @@
 #include "jobs/job_store.h"
 
 #include <algorithm>
-#include <type_traits>
+#include <tuple>
 #include <utility>
 
 #include "jobs/admission.h"
@@ -28,20 +28,32 @@
   return true;
 }
 
-// What a snapshot holds; refers to the parts.
-template <typename Store>
+// What a snapshot holds; refers to the parts. Later versions appended parts.
+template <typename... Parts>
 struct SnapshotContent {
-  Store& store;
-  std::conditional_t<std::is_const_v<Store>,
-                     const std::map<WorkerIncarnation, std::uint64_t>,
-                     std::map<WorkerIncarnation, std::uint64_t>>& deregistered;
+  std::tuple<Parts&...> parts;
 
   template <typename Archive>
   void serialize(Archive& archive) {  // NOLINT: cereal's name.
-    archive(store, deregistered);
+    std::apply([&](Parts&... part) { archive(part...); }, parts);
   }
 };
 
+// Whether `snapshot` consists of exactly these parts.
+template <typename... Parts>
+bool RestoreParts(std::string_view snapshot, Parts&... parts) {
+  const auto complete = base::Capture([&] {
+    SnapshotContent<Parts...> content{{parts...}};
+    return net::DecodeInto(content, snapshot);
+  });
+  return !std::holds_alternative<base::Error>(complete);
+}
+
+template <typename... Parts>
+std::string EncodeParts(const Parts&... parts) {
+  return net::Encode(SnapshotContent<const Parts...>{{parts...}});
+}
+
 }  // namespace
 
 std::string EncodeCommand(const Command& command) {
@@ -266,6 +278,11 @@
   return CommandReply::kNoChange;
 }
 
+CommandReply JobStore::Execute(const RecordRunTimes& command) {
+  run_times_.Add(command.samples);
+  return CommandReply::kApplied;
+}
+
 CommandReply JobStore::Execute(const ForgetJobs& command) {
   std::erase_if(deregistered_, [&](const auto& item) {
     return item.second < command.ended_before_ms;
@@ -278,18 +295,21 @@
 }
 
 std::string JobStore::Snapshot() const {
-  return net::Encode(SnapshotContent<const JobStore>{*this, deregistered_});
+  // Without samples, versions before RecordRunTimes can read it.
+  return run_times_.samples() == 0
+             ? EncodeParts(*this, deregistered_)
+             : EncodeParts(*this, deregistered_, run_times_);
 }
 
 base::Result<std::monostate> JobStore::Restore(std::string_view snapshot) {
   JobStore restored;
-  // Snapshots of versions before DeregisterWorker hold the store only.
-  const auto complete = base::Capture([&] {
-    SnapshotContent<JobStore> content{restored, restored.deregistered_};
-    return net::DecodeInto(content, snapshot);
-  });
-  if (std::holds_alternative<base::Error>(complete))
-    restored = TRY(net::Decode<JobStore>(snapshot));
+  if (!RestoreParts(snapshot, restored, restored.deregistered_,
+                    restored.run_times_)) {
+    restored = {};
+    // Snapshots of versions before DeregisterWorker hold the store only.
+    if (!RestoreParts(snapshot, restored, restored.deregistered_))
+      restored = TRY(net::Decode<JobStore>(snapshot));
+  }
   restored.worker_revision_ = worker_revision_ + 1;
   *this = std::move(restored);
   return std::monostate{};
--- a/libraries/jobs/job_store.h
+++ b/libraries/jobs/job_store.h
@@ -40,6 +40,8 @@
     return deregistered_.contains(incarnation);
   }
 
+  const RunTimeModel& run_times() const { return run_times_; }
+
   // Increases with each change of workers(). Not replicated; differs between
   // hosts.
   std::uint64_t worker_revision() const { return worker_revision_; }
@@ -70,6 +72,7 @@
   CommandReply Execute(const ForgetJobs& command);
   CommandReply Execute(const DeregisterWorker& command);
   CommandReply Execute(const ConfirmStarts& command);
+  CommandReply Execute(const RecordRunTimes& command);
 
   void Place(const Placement& placement);
   void End(const TaskEnd& end, std::uint64_t now_ms);
@@ -87,6 +90,7 @@
   std::map<base::WorkerId, WorkerDescription> workers_;
   // When each incarnation deregistered, in milliseconds since the Unix epoch.
   std::map<WorkerIncarnation, std::uint64_t> deregistered_;
+  RunTimeModel run_times_;
   std::uint64_t worker_revision_ = 1;
 };
 
--- a/tests/jobs/dispatch_simulation.cc
+++ b/tests/jobs/dispatch_simulation.cc
@@ -38,7 +38,7 @@
     : options_(options),
       random_(options.seed),
       fleet_(store_, options.workers, options.workers_per_rack),
-      dispatcher_(store_, {}) {
+      dispatcher_(store_, {.run_times = options.run_times}) {
   store_.Apply(PutConfiguration{
       .configuration = {
           .version = 1,
--- a/tests/jobs/dispatch_simulation.h
+++ b/tests/jobs/dispatch_simulation.h
@@ -25,6 +25,7 @@
   double late_starts = 0;
   // The same for holds.
   double late_holds = 0;
+  RunTimeMethod run_times;
 };
 
 // A dispatcher, its store and a fake fleet on one logical clock. A call takes 1
--- a/tests/jobs/job_store_test.cc
+++ b/tests/jobs/job_store_test.cc
@@ -256,6 +256,21 @@
   CHECK(restored.workers() == store.workers());
 }
 
+TEST_CASE("a snapshot holds run times, and one without them is restored") {
+  JobStore store;
+  store.Apply(RecordWorker{.worker = Worker("w", 20, "10.0.0.1:1")});
+  const std::string before = store.Snapshot();
+  store.Apply(RecordRunTimes{
+      .samples = {{.key = {.queue = "q"}, .declared_ms = 9, .run_ms = 7}}});
+  JobStore restored;
+  REQUIRE(restored.Restore(store.Snapshot()));
+  CHECK(restored.run_times() == store.run_times());
+  CHECK(restored.run_times().samples() == 1);
+  REQUIRE(restored.Restore(before));
+  CHECK(restored.run_times().samples() == 0);
+  CHECK(restored.workers() == store.workers());
+}
+
 // Guards against an odd report after which the runs of a sound worker are
 // started elsewhere while they still run.
 TEST_CASE("a worker of an unused pool takes no other worker's place") {
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -361,4 +361,13 @@
   CHECK(std::get<base::Error>(wrong).detail.find("Zone") != std::string::npos);
 }
 
+TEST_CASE("a method for run times that does not exist is named") {
+  CHECK(std::holds_alternative<jobs::LearnedRunTimes>(
+      DecodeRunTimeMethod("learned").value()));
+  const auto wrong =
+      base::Capture([] { return DecodeRunTimeMethod("lerned"); });
+  CHECK(std::get<base::Error>(wrong).detail.find("lerned") !=
+        std::string::npos);
+}
+
 }  // namespace wigeonstair::platform
