--- a/libraries/jobs/dispatcher_admission.cc
+++ b/libraries/jobs/dispatcher_admission.cc
@@ -20,27 +20,6 @@
 
 }  // namespace
 
-double Dispatcher::ExpectedTaskMs(const JobRecord& job,
-                                  std::uint32_t step) const {
-  return run_times_.ExpectedMs(job.queue, job.spec.steps[step].estimate_ms);
-}
-
-// The expected duration of the longest chain of dependent steps.
-double Dispatcher::CriticalPathMs(const std::string& queue,
-                                  const JobSpec& spec) const {
-  std::vector<double> finish_ms(spec.steps.size());
-  double longest = 0;
-  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
-    double begin = 0;
-    for (const std::uint32_t earlier : spec.steps[i].depends_on)
-      begin = std::max(begin, finish_ms[earlier]);
-    finish_ms[i] =
-        begin + run_times_.ExpectedMs(queue, spec.steps[i].estimate_ms);
-    longest = std::max(longest, finish_ms[i]);
-  }
-  return longest;
-}
-
 double Dispatcher::RemainingMs(const RunKey& key,
                                const Run& run,
                                const Now& now) const {
@@ -55,7 +34,19 @@
   if (run.phase == RunPhase::kStopping || run.phase == RunPhase::kEnding ||
       job == nullptr)
     return kMinimumRemainingMs;
-  const double whole = ExpectedTaskMs(*job, key.task.step) *
+  const bool learned =
+      std::holds_alternative<LearnedRunTimes>(options_.run_times);
+  if (learned && run.speed && *run.speed > 0 && run.listed_at) {
+    const std::chrono::duration<double, std::milli> since_list =
+        now.instant - *run.listed_at;
+    const double left = ProjectedMs(run) * (100.0 - run.percent) / 100;
+    return std::max(kMinimumRemainingMs, left - since_list.count());
+  }
+  const double slowness =
+      learned && !run.gang
+          ? store_.run_times().speeds().SlownessOf(run.worker.id)
+          : 1;
+  const double whole = ExpectedTaskMs(*job, key.task.step) * slowness *
                        (run.remote ? options_.remote_factor : 1);
   const std::chrono::duration<double, std::milli> ran =
       now.instant - run.running_since.value_or(now.instant);
@@ -114,7 +105,7 @@
   if (!IsBusy(capacity, free))
     return std::nullopt;
   RefreshOpenJobs(now);
-  const double critical_path = CriticalPathMs(queue, job.spec);
+  const double critical_path = CriticalPathMs(queue, job.spec, job.customer);
   const double end_ms =
       critical_path + DominantShare(BacklogMs(policy.priority, job.pool, now),
                                     kMaximumUtilization * AmountsOf(capacity));
--- a/libraries/jobs/dispatcher_health.cc
+++ b/libraries/jobs/dispatcher_health.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "jobs/dispatcher.h"
@@ -16,9 +17,6 @@
 // A run without progress for this time is considered hanging. Lists arrive at
 // least every 1.5 s.
 constexpr base::Duration kHangTimeout = std::chrono::milliseconds(3200);
-// Progress is listed in whole percents. A healthy run may take this many times
-// its expected run time.
-constexpr double kSlowestHealthyRun = 3;
 // Minimum time between two samples of `percent`.
 constexpr base::Duration kSampleInterval = std::chrono::milliseconds(1000);
 // Progress of a healthy run from which its speed is computed. With less, the
@@ -126,20 +124,60 @@
       job->spec.steps[key.task.step].long_running) {
     return std::nullopt;
   }
+  const RunTimeExpectation expected =
+      Expect(job->queue, job->customer, job->spec.steps[key.task.step]);
   const auto longest_percent = std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double, std::milli>(
-          kSlowestHealthyRun * ExpectedTaskMs(*job, key.task.step) / 100));
+      std::chrono::duration<double, std::milli>(expected.high_ms / 100));
   if (now.instant - run.progress_at > std::max(kHangTimeout, longest_percent))
     return "hangs";
   // The members of a gang progress at the same speed.
   // The median cannot exceed the highest speed.
   if (!run.gang && run.speed &&
       *run.speed * kSlowFactor < checked.step.fastest &&
-      IsSlowestOfStep(key, run))
+      IsSlowestOfStep(key, run) && IsSlowByItsWorker(key, run, expected))
     return "slow_worker";
   return std::nullopt;
 }
 
+// Load pattern: one task of thirty takes several times as long as the others. A
+// move would throw its work away, and it would take as long again.
+bool Dispatcher::IsSlowByItsWorker(const RunKey& key,
+                                   const Run& run,
+                                   const RunTimeExpectation& expected) const {
+  if (!std::holds_alternative<LearnedRunTimes>(options_.run_times) ||
+      ShortestMs(run) > expected.high_ms) {
+    return true;
+  }
+  const auto here = runs_by_worker_.find(run.worker);
+  if (here == runs_by_worker_.end())
+    return false;
+  std::size_t others = 0;
+  std::size_t slow = 0;
+  for (const auto& [other_key, other] : here->second.runs) {
+    const JobRecord* job = store_.FindJob(other_key.task.job);
+    if (other_key == key || !other->speed || job == nullptr)
+      continue;
+    ++others;
+    if (ProjectedMs(*other) >
+        kSlowFactor * ExpectedTaskMs(*job, other_key.task.step)) {
+      ++slow;
+    }
+  }
+  return others > 0 && 2 * slow >= others;
+}
+
+double Dispatcher::ProjectedMs(const Run& run) {
+  constexpr double kPercentMs = 100.0 * 1000;
+  return *run.speed > 0 ? kPercentMs / *run.speed
+                        : std::numeric_limits<double>::infinity();
+}
+
+// Two rounded percents differ by up to one less than the progress between them.
+double Dispatcher::ShortestMs(const Run& run) {
+  constexpr double kPercentMs = 100.0 * 1000;
+  return kPercentMs / (*run.speed + 1 / run.sample_seconds);
+}
+
 double Dispatcher::FastestOfStep(const RunKey& key) const {
   const auto is_sibling = [&](const TaskRef& task) {
     return task.step == key.task.step &&
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -103,7 +103,7 @@
     const JobRecord& job = *entry->job;
     // The steps of a job are neighbours.
     if (std::exchange(last, &job) != &job)
-      critical_path_ms = CriticalPathMs(job.queue, job.spec);
+      critical_path_ms = CriticalPathMs(job.queue, job.spec, job.customer);
     entry->work_ms = ExpectedTaskMs(job, entry->step.step);
     entry->objective_ms =
         entry->due_ms + job.policy.completion_target_ms +
--- a/libraries/jobs/job_store.cc
+++ b/libraries/jobs/job_store.cc
@@ -1,7 +1,7 @@
 #include "jobs/job_store.h"
 
 #include <algorithm>
-#include <type_traits>
+#include <tuple>
 #include <utility>
 
 #include "jobs/admission.h"
@@ -48,7 +48,8 @@
       });
 }
 
-// What a snapshot holds; refers to the parts.
+// What a snapshot holds; refers to the parts. What later versions added comes
+// last and is left out while it is empty, so that earlier versions can read it.
 template <typename Store>
 struct SnapshotContent {
   template <typename Part>
@@ -58,16 +59,24 @@
   Store& store;
   Reference<std::map<WorkerIncarnation, std::uint64_t>> deregistered;
   Reference<Configuration> configuration;
+  Reference<RunTimeModel> run_times;
 
   template <typename Archive>
   void save(Archive& archive) const {  // NOLINT: cereal's name.
     archive(store, deregistered);
-    SaveLimits(archive, configuration);
+    const bool learned = run_times.samples() > 0;
+    const std::vector<CustomerLimits> limits = LimitsOf(configuration);
+    if (learned || !limits.empty())
+      archive(limits);
+    if (learned)
+      archive(run_times);
   }
   template <typename Archive>
   void load(Archive& archive) {  // NOLINT: cereal's name.
     archive(store, deregistered);
     LoadLimits(archive, configuration);
+    if (archive.remaining() > 0)
+      archive(run_times);
   }
 };
 
@@ -310,6 +319,11 @@
   return CommandReply::kNoChange;
 }
 
+CommandReply JobStore::Execute(const RecordRunTimes& command) {
+  run_times_.Add(command.samples);
+  return CommandReply::kApplied;
+}
+
 CommandReply JobStore::Execute(const ForgetJobs& command) {
   std::erase_if(deregistered_, [&](const auto& item) {
     return item.second < command.ended_before_ms;
@@ -325,8 +339,8 @@
 }
 
 std::string JobStore::Snapshot() const {
-  return net::Encode(
-      SnapshotContent<const JobStore>{*this, deregistered_, configuration_});
+  return net::Encode(SnapshotContent<const JobStore>{
+      *this, deregistered_, configuration_, run_times_});
 }
 
 base::Result<std::monostate> JobStore::CheckJobs() const {
@@ -349,7 +363,8 @@
   // Snapshots of versions before DeregisterWorker hold the store only.
   const auto complete = base::Capture([&] {
     SnapshotContent<JobStore> content{restored, restored.deregistered_,
-                                      restored.configuration_};
+                                      restored.configuration_,
+                                      restored.run_times_};
     return net::DecodeInto(content, snapshot);
   });
   if (std::holds_alternative<base::Error>(complete))
--- a/tests/jobs/dispatch_simulation.cc
+++ b/tests/jobs/dispatch_simulation.cc
@@ -53,7 +53,7 @@
     : options_(options),
       random_(options.seed),
       fleet_(store_, options.workers, options.workers_per_rack),
-      dispatcher_(store_, {}) {
+      dispatcher_(store_, {.run_times = options.run_times}) {
   Configuration configuration{
       .version = 1,
       .queues = {{.name = "q", .host = "h", .path_prefix = "/", .pool = "p"}}};
--- a/tests/jobs/dispatch_simulation.h
+++ b/tests/jobs/dispatch_simulation.h
@@ -31,6 +31,7 @@
   int customers = 1;
   // Of each worker.
   Resources capacity = {.cpu = 64000, .memory_mb = 256000, .accelerators = 8};
+  RunTimeMethod run_times;
 };
 
 // A dispatcher, its store and a fake fleet on one logical clock. A call takes 1
