--- a/libraries/jobs/dispatcher.h
+++ b/libraries/jobs/dispatcher.h
@@ -18,6 +18,7 @@
 #include "jobs/actions.h"
 #include "jobs/api.h"
 #include "jobs/decision.h"
+#include "jobs/dispatcher_state.h"
 #include "jobs/job_store.h"
 #include "jobs/open_job_index.h"
 #include "jobs/placement_history.h"
@@ -115,19 +116,6 @@
   std::string_view FindStaleState(const Now& now);
 
  private:
-  enum class RunPhase {
-    // The placement is not committed yet.
-    kProposed,
-    // Start calls are sent until one is answered or the attempts are exhausted.
-    kStarting,
-    kRunning,
-    // Stop calls are sent until one is accepted; then the end has to appear in
-    // a list of the worker.
-    kStopping,
-    // The end is not committed yet.
-    kEnding,
-  };
-
   struct Worker;
 
   struct Run {
@@ -246,13 +234,6 @@
     std::optional<std::size_t> candidate;
   };
 
-  struct RemovedWorkerRecord {
-    // Empty when a former leader knew the worker.
-    std::string address;
-    // All leases on the worker have expired by then.
-    base::Instant lease_bound;
-  };
-
   // The run that an answered call concerns, and its worker.
   struct AnsweredRun {
     Run& run;
@@ -262,36 +243,10 @@
     bool same_clock = false;
   };
 
-  // An attempt that was given up before its end was known. It may have failed,
-  // and its worker may still list that.
-  struct LostAttempt {
-    std::uint32_t attempt = 0;
-    WorkerIncarnation worker;
-    base::Instant lost_at;
-    // Time of the worker's last answer before that.
-    base::Instant answered_at;
-  };
-
-  struct PendingEnds {
-    // Empty when the ends do not come from a list of a worker.
-    base::WorkerId worker;
-    std::uint64_t born = 0;
-    std::uint64_t last_number = 0;
-    std::vector<RunKey> runs;
-  };
-
-  struct PendingConfirmation {
-    std::vector<RunKey> runs;
-  };
-
   // The runs of placements, ends or confirmed starts.
   using Pending =
       std::variant<std::vector<RunKey>, PendingEnds, PendingConfirmation>;
 
-  // Value of a step that starts now: ends within its objective, after it, or
-  // after the value has dropped to zero.
-  enum class Urgency { kInTime, kLate, kZeroValue };
-
   // What decides where a step fits: the number of its shape without those
   // properties that matter on a single worker only, and whether it must stay in
   // one rack. If a gang does not fit, no larger gang of the same shape fits.
@@ -314,13 +269,6 @@
     std::vector<VictimRun> runs;
   };
 
-  // A step that does not fit even without all victims. Neither does one of the
-  // same shape with as many tasks that take as long.
-  struct HopelessStep {
-    std::uint32_t count = 0;
-    double work_ms = 0;
-  };
-
   // The state of one placement round.
   struct Round {
     std::vector<CandidateWorker> workers;
@@ -342,16 +290,6 @@
     std::optional<std::vector<Victim>> victims;
   };
 
-  // Resources that are reserved for an urgent step until its victims have
-  // ended.
-  struct Claim {
-    // The worker of each task.
-    std::vector<WorkerIncarnation> task_workers;
-    Resources task;
-    // When the claim expires and the step is placed anew.
-    base::Instant expires_at;
-  };
-
   // dispatcher.cc
   void Propose(Command command, std::optional<Pending> pending);
   void RecordDecision(std::string_view kind,
--- a/libraries/jobs/dispatcher_placement.cc
+++ b/libraries/jobs/dispatcher_placement.cc
@@ -158,8 +158,7 @@
           ready.spec->rack_local && rule == RackRule::kOneRack};
 }
 
-Dispatcher::Urgency Dispatcher::UrgencyOf(const ReadyStep& ready,
-                                          const Now& now) {
+Urgency Dispatcher::UrgencyOf(const ReadyStep& ready, const Now& now) {
   const double end = static_cast<double>(now.wall_ms) + ready.work_ms;
   const auto due = static_cast<double>(ready.due_ms);
   const double objective = static_cast<double>(ready.objective_ms) - due;
--- a/libraries/jobs/planner.cc
+++ b/libraries/jobs/planner.cc
@@ -51,13 +51,14 @@
     const std::vector<std::uint32_t>& used,
     const PlanRequest& request) {
   const bool needs_accelerator = request.step->task.accelerators > 0;
+  const Resources task = ReservedResources(*request.step);
   // Penalty, free accelerators, cores and memory, and the worker's index.
   using Key =
       std::tuple<int, std::uint64_t, std::uint64_t, std::uint64_t, std::size_t>;
   std::vector<Key> order;
   for (std::size_t i = 0; i < workers.size(); ++i) {
     const Resources free = workers[i].Usable();
-    if (CountFitting(free, *request.step, used[i]) == 0 ||
+    if (!free.Fits(task) || CountFitting(free, *request.step, used[i]) == 0 ||
         !IsOpen(workers[i], request))
       continue;
     // Tasks without accelerators avoid workers that have many free ones.
@@ -387,8 +388,9 @@
                    RackRule rule)
     : workers_(workers),
       request_(request),
+      used_(used),
       rule_(rule),
-      spaces_(workers.size()) {
+      task_(ReservedResources(*request.step)) {
   const std::string& data_rack = request.step->data_rack;
   for (std::size_t i = 0; i < workers.size(); ++i) {
     const CandidateWorker& candidate = workers[i];
@@ -396,26 +398,46 @@
       fits_in_rack_.resize(candidate.rack_number + 1);
     if (!data_rack.empty() && candidate.rack.value() == data_rack)
       data_rack_ = candidate.rack_number;
-    spaces_[i] = {.open = IsOpen(candidate, request),
-                  .used = used[i],
-                  .free = candidate.free};
-    Free(i, {});
+    // Most workers are full, so this comes before the other checks.
+    if (!candidate.free.Fits(task_))
+      continue;
+    const std::uint32_t fits = CountOn(i, {});
+    if (fits == 0 || !IsOpen(candidate, request))
+      continue;
+    std::uint64_t& in_rack = fits_in_rack_[candidate.rack_number];
+    in_rack += fits;
+    fits_ += fits;
+    most_in_rack_ = std::max(most_in_rack_, in_rack);
   }
 }
 
+std::uint32_t GangRoom::CountOn(std::size_t worker,
+                                const Resources& more) const {
+  Resources usable = workers_[worker].free;
+  usable += more;
+  usable -= workers_[worker].claimed;
+  const StepSpec& step = *request_.step;
+  const std::uint64_t most =
+      step.max_per_worker == 0
+          ? step.count
+          : step.max_per_worker - std::min(used_[worker], step.max_per_worker);
+  return static_cast<std::uint32_t>(CountUpTo(most, usable, task_));
+}
+
 void GangRoom::Free(std::size_t worker, const Resources& resources) {
-  Space& space = spaces_[worker];
-  if (!space.open)
+  const CandidateWorker& candidate = workers_[worker];
+  if (!IsOpen(candidate, request_))
     return;
-  space.free += resources;
-  Resources usable = space.free;
-  usable -= workers_[worker].claimed;
-  const std::uint32_t fits = CountFitting(usable, *request_.step, space.used);
-  std::uint64_t& in_rack = fits_in_rack_[workers_[worker].rack_number];
-  in_rack += fits - space.fits;
-  fits_ += fits - space.fits;
+  if (freed_.empty())
+    freed_.resize(workers_.size());
+  Resources& freed = freed_[worker];
+  const std::uint32_t before = CountOn(worker, freed);
+  freed += resources;
+  const std::uint32_t more = CountOn(worker, freed) - before;
+  std::uint64_t& in_rack = fits_in_rack_[candidate.rack_number];
+  in_rack += more;
+  fits_ += more;
   most_in_rack_ = std::max(most_in_rack_, in_rack);
-  space.fits = fits;
 }
 
 bool GangRoom::IsEnough() const {
--- a/libraries/jobs/planner.h
+++ b/libraries/jobs/planner.h
@@ -92,7 +92,7 @@
 // Whether PlanAll would place the request, while resources become free.
 class GangRoom {
  public:
-  // The arguments are those of PlanAll; `workers` and `request` outlive it.
+  // The arguments are those of PlanAll; They outlive it.
   GangRoom(const std::vector<CandidateWorker>& workers,
            const std::vector<std::uint32_t>& used,
            const PlanRequest& request,
@@ -103,18 +103,17 @@
   bool IsEnough() const;
 
  private:
-  // A worker that may take tasks of the request.
-  struct Space {
-    bool open = false;
-    std::uint32_t used = 0;
-    std::uint32_t fits = 0;
-    Resources free;
-  };
+  // How many tasks fit on a worker with these additional resources.
+  std::uint32_t CountOn(std::size_t worker, const Resources& more) const;
 
   const std::vector<CandidateWorker>& workers_;
   const PlanRequest& request_;
+  const std::vector<std::uint32_t>& used_;
   const RackRule rule_;
-  std::vector<Space> spaces_;
+  // The resources of one task.
+  const Resources task_;
+  // What became free on each worker; empty before the first call of Free.
+  std::vector<Resources> freed_;
   std::vector<std::uint64_t> fits_in_rack_;
   std::uint64_t fits_ = 0;
   std::uint64_t most_in_rack_ = 0;
