Give the end-to-end tests ports of their own address

Cause: FreeAddress bound a port, gave it back and named it, in part at 127.0.0.1.

Change: it names the next port of the test's own address.

Measured, release build: end_to_end_tls_test 2 cases passed; of end_to_end_test "a cut-off domain serves idempotent requests and refuses the rest" passed.

--- a/tests/end_to_end/cut_off_domain_test.cc
+++ b/tests/end_to_end/cut_off_domain_test.cc
@@ -79,7 +79,7 @@
   TestCluster cluster(ThreeDomains());
   cluster.StartAll();
   cluster.StartEntry("c1");
-  const std::string control = FreeAddress("127.0.0.1");
+  const std::string control = FreeAddress();
   const auto upstreams =
       cluster.Start("upstreams", "wigeonstair-standin-upstream",
                     {"--service", "booking", "--domain", "c", "--entry",
--- a/tests/end_to_end/request_test.cc
+++ b/tests/end_to_end/request_test.cc
@@ -36,7 +36,7 @@
 // Returns when the load runs: a fault that comes before it disturbs nothing.
 Load StartLoad(TestCluster& cluster, const std::vector<std::string>& options) {
   Load load;
-  const std::string control = FreeAddress("127.0.0.1");
+  const std::string control = FreeAddress();
   load.upstreams = cluster.Start(
       "upstreams", "wigeonstair-standin-upstream",
       {"--service", "booking", "--configuration", cluster.configuration_file(),
--- a/tests/end_to_end/test_cluster.cc
+++ b/tests/end_to_end/test_cluster.cc
@@ -1,8 +1,5 @@
 #include "tests/end_to_end/test_cluster.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
@@ -14,7 +11,6 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
-#include <set>
 #include <thread>
 
 #include "settings/cluster_configuration.h"
@@ -35,40 +31,10 @@
   file << text;
 }
 
-// Returns the bound socket, or -1.
-int Bind(const std::string& ip, int kind, std::uint16_t& port) {
-  const int handle = socket(AF_INET, kind, 0);
-  sockaddr_in name{};
-  name.sin_family = AF_INET;
-  name.sin_port = htons(port);
-  inet_pton(AF_INET, ip.c_str(), &name.sin_addr);
-  socklen_t length = sizeof(name);
-  if (bind(handle, reinterpret_cast<sockaddr*>(&name), length) != 0) {
-    close(handle);
-    return -1;
-  }
-  getsockname(handle, reinterpret_cast<sockaddr*>(&name), &length);
-  port = ntohs(name.sin_port);
-  return handle;
-}
-
 }  // namespace
 
-std::string FreeAddress(const std::string& ip) {
-  // The system may name a port that was closed again a second time.
-  static std::set<std::string> given;
-  for (;;) {
-    std::uint16_t port = 0;
-    const int stream = Bind(ip, SOCK_STREAM, port);
-    const int datagram = Bind(ip, SOCK_DGRAM, port);
-    if (stream >= 0)
-      close(stream);
-    if (datagram >= 0)
-      close(datagram);
-    std::string address = ip + ":" + std::to_string(port);
-    if (stream >= 0 && datagram >= 0 && given.insert(address).second)
-      return address;
-  }
+std::string FreeAddress() {
+  return OwnIp() + ":" + std::to_string(NextOwnPort());
 }
 
 void WaitUntil(const std::string& what,
@@ -122,10 +88,10 @@
     configuration_.hosts.push_back({.id = base::HostId(host.id),
                                     .domain = base::DomainId(host.domain),
                                     .storage = host.storage,
-                                    .control_http = FreeAddress(ip_),
-                                    .control_messages = FreeAddress(ip_),
-                                    .entry_http = FreeAddress(ip_),
-                                    .entry_messages = FreeAddress(ip_)});
+                                    .control_http = FreeAddress(),
+                                    .control_messages = FreeAddress(),
+                                    .entry_http = FreeAddress(),
+                                    .entry_messages = FreeAddress()});
     const bool known = !configuration_.domains.empty() &&
                        configuration_.domains.back().id.value() == host.domain;
     if (known)
--- a/tests/end_to_end/test_cluster.h
+++ b/tests/end_to_end/test_cluster.h
@@ -116,8 +116,8 @@
 // only a hung process reaches.
 void WaitUntil(const std::string& what, const std::function<bool()>& condition);
 
-// A free port of the address for TCP and UDP.
-std::string FreeAddress(const std::string& ip);
+// An address for TCP and UDP that no other process uses.
+std::string FreeAddress();
 
 settings::Value MustParse(const std::string& json);
 
--- a/tests/end_to_end/tls_test.cc
+++ b/tests/end_to_end/tls_test.cc
@@ -113,7 +113,7 @@
 // certificate.
 TEST_CASE("whole processes serve TLS and refuse plain HTTP and strangers") {
   TlsCluster tls;
-  const auto upstream = StartUpstream(tls, FreeAddress("127.0.0.1"));
+  const auto upstream = StartUpstream(tls, FreeAddress());
   const std::string trusted = tls.cluster.trusted_file();
   INFO(tls.cluster.LogOf("trusted"));
   CHECK(tls.Status("trusted", trusted) == 0);
@@ -144,7 +144,7 @@
 // that cuts the connection of a request in progress (I8).
 TEST_CASE("a replaced certificate is in use and cuts no request") {
   TlsCluster tls;
-  const std::string upstream_control = FreeAddress("127.0.0.1");
+  const std::string upstream_control = FreeAddress();
   const auto upstream = StartUpstream(tls, upstream_control);
   SetFault(upstream_control, "hang");
   net::HttpClient caller({.trusted_certificates = tls.cluster.trusted_file()});
