--- a/tests/jobs/customer_cap_replay_test.cc
+++ b/tests/jobs/customer_cap_replay_test.cc
@@ -116,14 +116,16 @@
   PutAcceleratorCap(simulation, version, 20);
   for (int round = 0; round < 30; ++round) {
     const std::uint64_t sizes[] = {0, 1, 2, 4, 8};
-    StepSpec step = Step(static_cast<std::uint32_t>(1 + random.Below(6)),
-                         sizes[random.Below(5)],
-                         static_cast<std::uint32_t>(200 + random.Below(3000)));
+    const auto count = static_cast<std::uint32_t>(1 + random.Below(6));
+    const std::uint64_t size = sizes[random.Below(5)];
+    const auto run_ms = static_cast<std::uint32_t>(200 + random.Below(3000));
+    StepSpec step = Step(count, size, run_ms);
     step.gang = random.Below(2) == 0;
     step.fills = random.Below(4) == 0;
-    simulation.Submit("j" + std::to_string(round), {step},
-                      static_cast<std::uint32_t>(random.Below(3)), 5,
-                      random.Below(3) == 0 ? "d" : "c");
+    const auto priority = static_cast<std::uint32_t>(random.Below(3));
+    const std::string customer = random.Below(3) == 0 ? "d" : "c";
+    simulation.Submit("j" + std::to_string(round), {step}, priority, 5,
+                      customer);
     const std::size_t worker = random.Below(simulation.fleet().size());
     switch (random.Below(8)) {
       case 0:
--- a/tests/jobs/open_job_index_test.cc
+++ b/tests/jobs/open_job_index_test.cc
@@ -41,10 +41,10 @@
     std::vector<StepSpec> steps;
     const std::uint64_t sizes[] = {0, 1, 2, 4, 8};
     for (std::uint64_t i = 0; i <= random_.Below(3); ++i) {
-      StepSpec step =
-          Step(static_cast<std::uint32_t>(1 + random_.Below(9)),
-               sizes[random_.Below(5)],
-               static_cast<std::uint32_t>(100 + random_.Below(2500)));
+      const auto count = static_cast<std::uint32_t>(1 + random_.Below(9));
+      const std::uint64_t size = sizes[random_.Below(5)];
+      const auto run_ms = static_cast<std::uint32_t>(100 + random_.Below(2500));
+      StepSpec step = Step(count, size, run_ms);
       step.gang = random_.Below(2) == 0;
       step.rack_local = random_.Below(2) == 0;
       step.max_per_worker = random_.Below(3) == 0 ? 1 : 0;
--- a/tests/jobs/planner_test.cc
+++ b/tests/jobs/planner_test.cc
@@ -195,8 +195,9 @@
       worker.usable_ms = random.Below(4) == 0 ? 10 : worker.usable_ms;
       worker.urgent_only = random.Below(4) == 0;
     }
-    StepSpec step = GangOfSize(static_cast<std::uint32_t>(1 + random.Below(12)),
-                               1 + random.Below(3));
+    const auto count = static_cast<std::uint32_t>(1 + random.Below(12));
+    const std::uint64_t accelerators = 1 + random.Below(3);
+    StepSpec step = GangOfSize(count, accelerators);
     step.rack_local = random.Below(2) == 0;
     step.data_rack = random.Below(3) == 0 ? "r1" : "";
     step.max_per_worker = static_cast<std::uint32_t>(random.Below(3));
