--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,7 +4,7 @@
 # deploy file and review/build-2.sh.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-timeout -k 2 115 target/review-2/evacuation review/8/record.txt
+timeout -k 2 115 target/review-2/deregistration review/8/record.txt
 status=$?
 [ "$status" -le 1 ] && exit "$status"
 exit 2
