--- a/review/standin-2/case.cpp
+++ b/review/standin-2/case.cpp
@@ -67,7 +67,9 @@
                            const std::string& rack,
                            Capacity capacity,
                            std::vector<std::string> controls,
-                           std::string ip) {
+                           std::string ip,
+                           LateStarts* late_starts,
+                           bool cut) {
   if (controls.empty()) {
     for (int i = 0; i < platform_.cores(); ++i)
       controls.push_back(platform_.control(i));
@@ -78,7 +80,9 @@
                     .zone = zone,
                     .rack = rack,
                     .capacity = capacity,
-                    .controls = std::move(controls)},
+                    .controls = std::move(controls),
+                    .late_starts = late_starts,
+                    .cut = cut},
       fleet_, ip.empty() ? platform_.NewIp() : std::move(ip),
       platform_.bounds().hold_max_ms));
 }
--- a/review/standin-2/case.hpp
+++ b/review/standin-2/case.hpp
@@ -50,7 +50,9 @@
                  const std::string& rack,
                  Capacity capacity = {},
                  std::vector<std::string> controls = {},
-                 std::string ip = {});
+                 std::string ip = {},
+                 LateStarts* late_starts = nullptr,
+                 bool cut = false);
   // Waits until the nodes are ready and all workers were acknowledged.
   void AwaitReady();
   // Waits until the last `count` workers were acknowledged.
--- a/review/standin-2/harness.cpp
+++ b/review/standin-2/harness.cpp
@@ -32,6 +32,7 @@
 constexpr int kReadyPort = 18523;
 constexpr int kWorkerPort = 18080;
 constexpr std::int64_t kHeartbeatMs = 1500;
+constexpr std::int64_t kCheckpointIntervalMs = 2000;
 
 std::int64_t Elapsed(Steady::time_point since) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Steady::now() -
@@ -495,6 +496,14 @@
       " run " + std::to_string(event.attempt) + " ends " + how);
 }
 
+void Fleet::RecordNoted(std::size_t run) {
+  const std::lock_guard lock(mutex_);
+  RunEvent& event = runs_[run];
+  event.noted_ms = NowMs();
+  Log("worker " + event.worker + " (" + event.zone + "): the end of " +
+      event.task + " run " + std::to_string(event.attempt) + " is noted");
+}
+
 std::vector<RunEvent> Fleet::Runs() const {
   const std::lock_guard lock(mutex_);
   return runs_;
@@ -523,6 +532,9 @@
   listener_ = Listen(address_);
   if (listener_ < 0)
     CannotRun("worker " + options_.id + " cannot listen at " + address_);
+  cut_ = options_.cut;
+  if (options_.late_starts != nullptr)
+    options_.late_starts->SetWorker(this);
   threads_.emplace_back([this] { Accept(); });
   threads_.emplace_back([this] { Beat(); });
   threads_.emplace_back([this] { Tick(); });
@@ -540,6 +552,8 @@
 void Worker::End() {
   if (ended_.exchange(true))
     return;
+  if (options_.late_starts != nullptr)
+    options_.late_starts->SetWorker(nullptr);
   shutdown(listener_, SHUT_RDWR);
   changed_.notify_all();
   for (std::thread& thread : threads_)
@@ -583,7 +597,14 @@
       continue;
     if (!ReadMessage(socket_fd, NowMs() + 5000, &rest, &head, &body))
       return;
+    if (cut_)
+      continue;
     const std::string path = head.substr(head.find(' ') + 1);
+    if (options_.late_starts != nullptr &&
+        path.rfind("/-/run-start ", 0) == 0 &&
+        options_.late_starts->Keep(body)) {
+      continue;
+    }
     Answer answer;
     const std::string expected = HeaderOf(head, "x-expect-instance");
     if (!expected.empty() && expected != options_.id)
@@ -592,6 +613,8 @@
       answer = Handle(path.substr(0, path.find(' ')), body);
     if (ended_)
       return;
+    if (cut_)
+      continue;
     const std::string text =
         "HTTP/1.1 " + std::to_string(answer.status) +
         " x\r\nContent-Type: application/json\r\nContent-Length: " +
@@ -618,6 +641,16 @@
   return {.status = 404, .body = "{}"};
 }
 
+std::string Worker::CheckpointOf(const Run& run) const {
+  const std::int64_t done =
+      (ClockMs() - run.started_ms) / kCheckpointIntervalMs;
+  if (run.needs.checkpoint_bytes == 0 || done == 0)
+    return {};
+  std::string text = std::to_string(done) + "-";
+  text.resize(run.needs.checkpoint_bytes, 'c');
+  return text;
+}
+
 Answer Worker::Refuse(const std::string& reason) {
   return {.status = 409,
           .body = "{\"ClockMs\":" + std::to_string(ClockMs()) +
@@ -672,7 +705,9 @@
   ends_.push_back({.number = ++last_end_,
                    .task = task,
                    .attempt = run->second.attempt,
-                   .how = how});
+                   .how = how,
+                   .checkpoint = CheckpointOf(run->second),
+                   .run = run->second.number});
   closed_attempts_[task] =
       std::max(closed_attempts_[task], run->second.attempt);
   fleet_.RecordEnd(run->second.number, how);
@@ -697,7 +732,12 @@
   lease_until_ms_ =
       std::max(lease_until_ms_, std::min(deadline, ClockMs() + max_hold_ms_));
   const std::int64_t seen = NumberField(body, "LastSeen", 0);
-  std::erase_if(ends_, [&](const Ended& end) { return end.number <= seen; });
+  std::erase_if(ends_, [&](const Ended& end) {
+    if (end.number > seen)
+      return false;
+    fleet_.RecordNoted(end.run);
+    return true;
+  });
   const std::int64_t wait =
       std::min<std::int64_t>(NumberField(body, "WaitMs", 0), 2000);
   if (wait > 0 && ends_.empty()) {
@@ -715,8 +755,8 @@
             ? 100
             : std::min<std::int64_t>(99, 100 * ran / run.needs.work_ms);
     text += comma;
-    text += "[\"" + task + "\"," + std::to_string(run.attempt) + ",\"\"," +
-            std::to_string(percent) + "]";
+    text += "[\"" + task + "\"," + std::to_string(run.attempt) + ",\"" +
+            CheckpointOf(run) + "\"," + std::to_string(percent) + "]";
     comma = ",";
   }
   text += "],\"Finished\":[";
@@ -727,7 +767,8 @@
       break;
     text += comma;
     text += "[" + std::to_string(end.number) + ",\"" + end.task + "\"," +
-            std::to_string(end.attempt) + ",\"" + end.how + "\",\"\"]";
+            std::to_string(end.attempt) + ",\"" + end.how + "\",\"" +
+            end.checkpoint + "\"]";
     comma = ",";
   }
   return {.status = 200, .body = text + "]}"};
@@ -754,7 +795,72 @@
   }
 }
 
+void Worker::Cut(bool cut) {
+  cut_ = cut;
+  Log("worker " + options_.id + (cut ? ": is cut off" : ": is reached again"));
+}
+
+void Worker::CarryOut(const std::string& body) {
+  const std::lock_guard lock(mutex_);
+  const std::int64_t token = NumberField(body, "FencingToken", 0);
+  Answer answer = token < fence_ ? Refuse("fence") : Answer{};
+  if (answer.status == 0) {
+    fence_ = token;
+    answer = HandleStart(body);
+  }
+  Log("worker " + options_.id + ", born " + std::to_string(born_) +
+      ": carries out the start of " + TextField(body, "Task") + " late -> " +
+      std::to_string(answer.status) + " " + TextField(answer.body, "Reason"));
+}
+
+LateStarts::LateStarts() : thread_([this] { Run(); }) {}
+
+LateStarts::~LateStarts() {
+  stop_ = true;
+  thread_.join();
+}
+
+void LateStarts::Begin(std::vector<std::int64_t> delays_ms) {
+  const std::lock_guard lock(mutex_);
+  delays_ms_ = std::move(delays_ms);
+}
+
+void LateStarts::SetWorker(Worker* worker) {
+  const std::lock_guard lock(mutex_);
+  worker_ = worker;
+}
+
+bool LateStarts::Keep(const std::string& body) {
+  const std::lock_guard lock(mutex_);
+  const std::string task = TextField(body, "Task");
+  if (delays_ms_.empty() || !known_.emplace(task, true).second ||
+      tasks_++ % 2 != 0) {
+    return false;
+  }
+  const std::int64_t delay = delays_ms_[kept_++ % delays_ms_.size()];
+  due_.emplace(NowMs() + delay, body);
+  Log("worker: leaves the start of " + task +
+      " unanswered and carries it out in " + std::to_string(delay) + " ms");
+  return true;
+}
+
+void LateStarts::Run() {
+  while (!stop_) {
+    {
+      const std::lock_guard lock(mutex_);
+      while (!due_.empty() && due_.begin()->first <= NowMs()) {
+        if (worker_ != nullptr)
+          worker_->CarryOut(due_.begin()->second);
+        due_.erase(due_.begin());
+      }
+    }
+    SleepMs(10);
+  }
+}
+
 bool Worker::Report() {
+  if (cut_)
+    return false;
   std::string body;
   std::vector<std::string> nodes;
   {
--- a/review/standin-2/harness.hpp
+++ b/review/standin-2/harness.hpp
@@ -143,6 +143,8 @@
   std::int64_t gpu = 8;
 };
 
+class LateStarts;
+
 struct WorkerOptions {
   std::string id;
   std::string service;
@@ -151,6 +153,9 @@
   Capacity capacity;
   // Nodes that serve control, in the order in which this worker calls them.
   std::vector<std::string> controls;
+  LateStarts* late_starts = nullptr;
+  // Whether this life begins behind a cut.
+  bool cut = false;
 };
 
 // What a task needs, and how long it takes on a sound worker. A negative time
@@ -158,6 +163,9 @@
 struct TaskNeeds {
   Capacity capacity;
   std::int64_t work_ms = 1000;
+  // Of a checkpoint, of which there is a new one with each
+  // kCheckpointIntervalMs of work; 0 for a task without checkpoints.
+  std::size_t checkpoint_bytes = 0;
 };
 
 // A run of a task on a worker.
@@ -170,6 +178,8 @@
   std::string task;
   std::int64_t attempt = 0;
   std::string how;
+  // When the system noted the end (`LastSeen` reached it); negative before.
+  std::int64_t noted_ms = -1;
 };
 
 // What all workers know of the jobs, and what they ran.
@@ -180,6 +190,7 @@
   // Returns the number of the run.
   std::size_t RecordStart(RunEvent event);
   void RecordEnd(std::size_t run, const std::string& how);
+  void RecordNoted(std::size_t run);
   std::vector<RunEvent> Runs() const;
   std::size_t StartsOf(const std::string& job) const;
 
@@ -189,6 +200,38 @@
   std::vector<RunEvent> runs_;
 };
 
+class Worker;
+
+// What keeps some of the starts to a worker and carries them out seconds later.
+// A call names a worker by its id, so the life that is there by then gets it.
+class LateStarts {
+ public:
+  LateStarts();
+  ~LateStarts();
+  LateStarts(const LateStarts&) = delete;
+  LateStarts& operator=(const LateStarts&) = delete;
+
+  // From now on the first start of each second task is kept: it gets no answer
+  // and is carried out after the delays, in turn.
+  void Begin(std::vector<std::int64_t> delays_ms);
+  void SetWorker(Worker* worker);
+  // Whether the start is kept.
+  bool Keep(const std::string& body);
+
+ private:
+  void Run();
+
+  std::mutex mutex_;
+  std::vector<std::int64_t> delays_ms_;
+  std::size_t tasks_ = 0;
+  std::size_t kept_ = 0;
+  std::map<std::string, bool> known_;
+  std::multimap<std::int64_t, std::string> due_;
+  Worker* worker_ = nullptr;
+  std::atomic<bool> stop_{false};
+  std::thread thread_;
+};
+
 // One life of a worker, with `AdmissionCheck` true.
 class Worker {
  public:
@@ -205,6 +248,10 @@
   bool Deregister(const std::vector<std::string>& nodes);
   // Ends this life: nothing answers any more.
   void End();
+  // Cuts the worker off: it hears and says nothing.
+  void Cut(bool cut);
+  // Carries a start out that was kept.
+  void CarryOut(const std::string& body);
 
   std::size_t running() const;
   // Status reports that were acknowledged.
@@ -225,6 +272,8 @@
     std::string task;
     std::int64_t attempt = 0;
     std::string how;
+    std::string checkpoint;
+    std::size_t run = 0;
   };
 
   void Accept();
@@ -240,6 +289,7 @@
   void Tick();
   void EndRun(const std::string& task, const std::string& how);
   std::int64_t ClockMs() const;
+  std::string CheckpointOf(const Run& run) const;
 
   const WorkerOptions options_;
   Fleet& fleet_;
@@ -249,6 +299,7 @@
   std::chrono::steady_clock::time_point clock_start_;
   int listener_ = -1;
   std::atomic<bool> ended_{false};
+  std::atomic<bool> cut_{false};
   std::atomic<std::size_t> reports_{0};
   mutable std::mutex mutex_;
   std::condition_variable changed_;
