--- a/review/standin-2/services.cpp
+++ b/review/standin-2/services.cpp
@@ -41,16 +41,17 @@
     if (!WaitFor(10000, [&] { return system.fleet().StartsOf(id) == 1; }))
       CannotRun("a job that lasts did not start");
   }
-  // Work comes at once to the first service and fills it.
+  // Work comes to the first service. With a burst it fills it.
   const Capacity whole{.cpu = 8000, .memory_mb = 4096, .gpu = 8};
-  if (WithTrouble()) {
-    for (int i = 0; i < kBusyWorkers; ++i) {
-      const std::string id = NewId();
-      system.fleet().Expect(id, {.capacity = whole, .work_ms = -1});
-      serving.Submit(platform.front(0), id, JobBody(1, whole, 1000, lasts));
-    }
-    SleepMs(3000);
+  // In 4 s five jobs come, or 2.4 times as many.
+  const int jobs = WithTrouble() ? kBusyWorkers : 5;
+  for (int i = 0; i < jobs; ++i) {
+    const std::string id = NewId();
+    system.fleet().Expect(id, {.capacity = whole, .work_ms = -1});
+    serving.Submit(platform.front(0), id, JobBody(1, whole, 1000, lasts));
+    SleepMs(4000 / jobs);
   }
+  SleepMs(1000);
   // A gang of two, for which four workers have room.
   const std::string gang = NewId();
   system.fleet().Expect(gang, {.capacity = whole, .work_ms = 2000});
